--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,155 @@
+import { readFileSync } from "node:fs";
+import { parse } from "smol-toml";
+import * as v from "valibot";
+import { needOf, offerOf } from "../core/amount.js";
+import type { Deployment } from "../core/types.js";
+
+const text = v.pipe(v.string(), v.nonEmpty());
+const endpoint = v.pipe(v.string(), v.regex(/^[^\s:]+:\d{1,5}$/, "must be host:port"));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const amount = v.optional(v.pipe(v.number(), v.finite(), v.minValue(0)), 0);
+
+const schema = v.object({
+  node: text,
+  site: text,
+  client_listen: endpoint,
+  peer_bind: endpoint,
+  known: v.optional(v.array(v.object({ node: text, site: v.optional(v.string(), ""), endpoint })), []),
+  endpoints: v.object({ cloud: endpoint, state: endpoint }),
+  deployment: v.object({
+    zones: v.pipe(v.array(text), v.minLength(1)),
+    teams: v.pipe(
+      v.array(v.object({ name: text, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount })),
+      v.minLength(1),
+    ),
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: text,
+          class: v.nullish(v.string(), null),
+          within_s: v.nullish(v.number(), null),
+          share: v.nullish(v.number(), null),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(4)),
+    }),
+    cloud: v.object({ rps: positive, list_lag_s: v.pipe(v.number(), v.finite(), v.minValue(0)) }),
+    quota: v.optional(
+      v.object({ max_connections: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 1000) }),
+      {},
+    ),
+  }),
+});
+
+export interface Settings {
+  readonly listen: Endpoint;
+  readonly peerListen: Endpoint;
+  readonly peers: readonly { readonly node: string; readonly at: Endpoint }[];
+  readonly cloud: Endpoint;
+  readonly state: Endpoint;
+  readonly maxConnections: number;
+  readonly deployment: Deployment;
+}
+
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+export class SettingsError extends Error {}
+
+export function parseEndpoint(value: string): Endpoint {
+  const at = value.lastIndexOf(":");
+  return { host: value.slice(0, at), port: Number(value.slice(at + 1)) };
+}
+
+function port(value: string, field: string): Endpoint {
+  const at = parseEndpoint(value);
+  if (at.port < 1 || at.port > 65_535) throw new SettingsError(`${field}: port out of range`);
+  return at;
+}
+
+export function loadSettings(path: string): Settings {
+  let source: string;
+  try {
+    source = readFileSync(path, "utf8");
+  } catch (error) {
+    throw new SettingsError(`cannot read ${path}: ${(error as Error).message}`);
+  }
+  return parseSettings(source);
+}
+
+export function parseSettings(source: string): Settings {
+  let raw: unknown;
+  try {
+    raw = parse(source);
+  } catch (error) {
+    throw new SettingsError(`not TOML: ${(error as Error).message.split("\n")[0]}`);
+  }
+  const result = v.safeParse(schema, raw);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new SettingsError(`${v.getDotPath(issue) ?? "settings"}: ${issue.message}`);
+  }
+  const s = result.output;
+  const d = s.deployment;
+  for (const [i, team] of d.teams.entries()) {
+    if (d.teams.findIndex((t) => t.name === team.name) !== i) {
+      throw new SettingsError(`deployment.teams.${i}.name: ${team.name} is named twice`);
+    }
+  }
+  if (s.known.some((peer) => peer.node === s.node)) {
+    throw new SettingsError("known: names this node itself");
+  }
+  if (d.workers.lease_s <= d.workers.report_s) {
+    throw new SettingsError("deployment.workers.lease_s: must be longer than report_s");
+  }
+  return {
+    listen: port(s.client_listen, "client_listen"),
+    peerListen: port(s.peer_bind, "peer_bind"),
+    peers: s.known.map((peer, i) => ({ node: peer.node, at: port(peer.endpoint, `known.${i}.endpoint`) })),
+    cloud: port(s.endpoints.cloud, "endpoints.cloud"),
+    state: port(s.endpoints.state, "endpoints.state"),
+    maxConnections: d.quota.max_connections,
+    deployment: {
+      node: s.node,
+      peers: s.known.map((peer) => peer.node),
+      zones: d.zones,
+      teams: d.teams.map((team) => ({
+        name: team.name,
+        guarantee: needOf(team.cpus, team.gpus, 0),
+        limit: offerOf(team.cpus_max, team.gpus_max, 0),
+      })),
+      objectives: d.objectives.map((o) => ({
+        kind: o.kind,
+        jobClass: o.class,
+        withinS: o.within_s,
+        share: o.share,
+      })),
+      reportS: d.workers.report_s,
+      leaseS: d.workers.lease_s,
+      gangWaitS: d.workers.gang_wait_s,
+      gangPeerS: d.workers.gang_peer_s,
+      cancelS: d.workers.cancel_s,
+      stateRps: d.state.rps,
+      stateWriteRps: d.state.write_rps,
+      valueBytes: d.state.value_kb * 1024,
+      txnOps: d.state.txn_ops,
+      cloudRps: d.cloud.rps,
+      listLagS: d.cloud.list_lag_s,
+    },
+  };
+}
--- /dev/null
+++ b/src/core/amount.ts
@@ -0,0 +1,38 @@
+import type { Amount } from "./types.js";
+
+export const ZERO: Amount = { cpu: 0, gpu: 0, ram: 0 };
+
+/** What a task takes is rounded up, so that the sum never understates it. */
+export function needOf(cpu: number, gpu: number, ram: number): Amount {
+  return { cpu: up(cpu), gpu: up(gpu), ram: up(ram) };
+}
+
+/** What a machine or a limit offers is rounded down. */
+export function offerOf(cpu: number, gpu: number, ram: number): Amount {
+  return { cpu: down(cpu), gpu: down(gpu), ram: down(ram) };
+}
+
+// 1.1 * 1000 is a hair above 1100: rounding noise must not turn into a thousandth.
+function up(x: number): number {
+  return Math.ceil(x * 1000 - 1e-6);
+}
+function down(x: number): number {
+  return Math.floor(x * 1000 + 1e-6);
+}
+
+export function add(a: Amount, b: Amount, times = 1): Amount {
+  return { cpu: a.cpu + b.cpu * times, gpu: a.gpu + b.gpu * times, ram: a.ram + b.ram * times };
+}
+
+export function fits(need: Amount, room: Amount): boolean {
+  return need.cpu <= room.cpu && need.gpu <= room.gpu && need.ram <= room.ram;
+}
+
+/** How many times `need` goes into `room`. */
+export function times(need: Amount, room: Amount): number {
+  let n = Number.POSITIVE_INFINITY;
+  if (need.cpu > 0) n = Math.min(n, Math.floor(room.cpu / need.cpu));
+  if (need.gpu > 0) n = Math.min(n, Math.floor(room.gpu / need.gpu));
+  if (need.ram > 0) n = Math.min(n, Math.floor(room.ram / need.ram));
+  return Math.max(0, n);
+}
--- /dev/null
+++ b/src/core/controller.ts
@@ -0,0 +1,392 @@
+import { changeOperator, readOperator } from "../config/operator.js";
+import { type Budget, Context } from "./context.js";
+import { Intake, later } from "./intake.js";
+import { Leadership } from "./leadership.js";
+import { Directory } from "./names.js";
+import { seeded } from "./random.js";
+import { KEYS } from "./records.js";
+import { Reign } from "./reign.js";
+import type {
+  AdminAnswer,
+  AdminAsk,
+  Command,
+  Deployment,
+  Effect,
+  PeerMessage,
+  Report,
+  ReportAnswer,
+  StateItem,
+} from "./types.js";
+import { ConfigView } from "./view.js";
+
+const BEAT_MS = 1000;
+const PEER_FRESH_MS = 3500;
+/** A worker that comes back this soon after a redirect can't reach the leader: its reports are relayed. */
+const REDIRECT_MEMORY_MS = 30_000;
+/** Without a leader a report waits this long for one: workers give up after 4 s. */
+const HOLD_REPORT_MS = 2000;
+const SWEEP_MS = 30_000;
+const UNREADY_AFTER_MS = 2500;
+const CALL_MS = 1500;
+const PROGRESS_KEPT = 20_000;
+
+interface Peer {
+  heardAt: number;
+  stateOk: boolean;
+  token: number;
+  up: boolean;
+}
+
+export interface Identity {
+  readonly incarnation: string;
+  readonly seed: number;
+  /** Wall time at `now` 0. */
+  readonly epochMs: number;
+}
+
+/** The whole of a node without its inputs and outputs: commands and the time go in, effects come out. */
+export class Controller {
+  readonly directory = new Directory();
+  readonly ctx: Context;
+  readonly view: ConfigView;
+  readonly leadership: Leadership;
+  readonly intake: Intake;
+  reign: Reign | null = null;
+  readonly #peers = new Map<string, Peer>();
+  readonly #progress = new Map<string, { done: number; running: number }>();
+  readonly #redirected = new Map<string, number>();
+  #waitingReports: { req: number; report: Report; raw: unknown; until: number }[] = [];
+  #beatAt = Number.NEGATIVE_INFINITY;
+  #sweepAt = 0;
+
+  constructor(deployment: Deployment, identity: Identity) {
+    this.ctx = new Context(deployment, this.directory, seeded(identity.seed));
+    this.view = new ConfigView(this.ctx, (key) => {
+      this.leadership.configChanged(key);
+      if (key === KEYS.modes) this.reign?.applyModes();
+    });
+    this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
+      elected: (reigning) => {
+        this.ctx.log("info", "elected", { token: reigning.token });
+        this.reign = new Reign(this.ctx, this.view, this.leadership, reigning);
+        this.#beatAt = Number.NEGATIVE_INFINITY;
+      },
+      deposed: (why) => {
+        this.ctx.log("info", "no longer leader", { why });
+        this.reign?.end();
+        this.reign = null;
+        this.#beatAt = Number.NEGATIVE_INFINITY;
+      },
+      startsUnderWay: () => this.reign?.fleet.startsUnderWay() ?? false,
+    });
+    this.intake = new Intake(this.ctx, this.view, identity.epochMs, {
+      learned: (item) => this.#learned(item),
+      counts: (uid) => this.reign?.counts(uid) ?? this.#progress.get(uid) ?? null,
+    });
+    for (const name of deployment.peers) {
+      this.#peers.set(name, { heardAt: Number.NEGATIVE_INFINITY, stateOk: false, token: 0, up: false });
+    }
+  }
+
+  /** Can this node take requests? Not while it alone is refused by the state service; in a common outage, yes. */
+  get ready(): boolean {
+    if (!this.view.loaded || this.view.types.length === 0) return false;
+    const since = this.ctx.stateFailingSince;
+    if (since === null || this.ctx.now - since < UNREADY_AFTER_MS) return true;
+    for (const peer of this.#peers.values()) {
+      if (peer.stateOk && this.ctx.now - peer.heardAt < PEER_FRESH_MS) return false;
+    }
+    return true;
+  }
+
+  get leaderName(): string | null {
+    if (this.reign) return this.ctx.deployment.node;
+    return this.view.leader?.value.node ?? null;
+  }
+
+  handle(batch: readonly Command[], now: number, budget: Budget): Effect[] {
+    this.ctx.now = now;
+    this.directory.turn();
+    for (const command of batch) this.#one(command, budget);
+    this.#answerWaiting();
+    this.reign?.settle(budget);
+    return this.ctx.takeEffects();
+  }
+
+  #one(command: Command, budget: Budget): void {
+    switch (command.t) {
+      case "tick":
+        this.#tick(budget);
+        break;
+      case "submit":
+        this.intake.submit(command.uid, command.spec, (answer) => this.#answer(command.req, answer));
+        break;
+      case "poll":
+        this.intake.poll(command.uid, (answer) => this.#answer(command.req, answer));
+        break;
+      case "cancel":
+        this.intake.cancel(command.uid, (answer) => this.#answer(command.req, answer));
+        break;
+      case "admin":
+        this.#admin(command.ask, (answer) => this.ctx.emit({ t: "adminAnswer", req: command.req, answer }));
+        break;
+      case "report":
+        this.#report(command.req, command.report, command.raw);
+        break;
+      case "doDone":
+        this.reign?.fleet.doAnswered(command.id, command.report, command.executed);
+        break;
+      case "state":
+        this.ctx.stateAnswered(command.id, command.answer);
+        break;
+      case "cloud":
+        this.ctx.cloudAnswered(command.id, command.answer);
+        break;
+      case "peer":
+        this.#peerSaid(command.from, command.message);
+        break;
+      case "peerReport": {
+        const answer = this.#leaderAnswer(command.report) ?? { t: "later" };
+        this.ctx.emit({ t: "peerReportAnswer", to: command.from, id: command.id, answer });
+        break;
+      }
+      case "peerLink": {
+        const peer = this.#peers.get(command.node);
+        if (peer) peer.up = command.up;
+        break;
+      }
+      default:
+        command satisfies never;
+    }
+  }
+
+  #answer(req: number, answer: Extract<Effect, { t: "answer" }>["answer"]): void {
+    this.ctx.emit({ t: "answer", req, answer });
+  }
+
+  #tick(budget: Budget): void {
+    this.view.tick();
+    this.leadership.tick();
+    this.reign?.tick(budget);
+    const { now } = this.ctx;
+    if (now - this.#beatAt >= BEAT_MS) this.#beat();
+    if (now - this.#sweepAt >= SWEEP_MS) {
+      this.#sweepAt = now;
+      const used = this.reign?.inUse() ?? { jobs: new Set<number>(), machines: new Set<number>() };
+      for (const waiting of this.#waitingReports) {
+        used.machines.add(waiting.report.machine);
+        for (const entry of waiting.report.tasks) used.jobs.add(entry.job);
+      }
+      this.directory.jobs.sweep(used.jobs);
+      this.directory.machines.sweep(used.machines);
+      for (const [name, at] of this.#redirected) {
+        if (now - at > REDIRECT_MEMORY_MS) this.#redirected.delete(name);
+      }
+    }
+  }
+
+  #beat(): void {
+    this.#beatAt = this.ctx.now;
+    const message: PeerMessage = {
+      t: "beat",
+      token: this.leadership.reign?.token ?? this.leadership.highestSeen,
+      leader: this.reign ? this.ctx.deployment.node : null,
+      stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
+      workersHeard: 0,
+    };
+    for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
+  }
+
+  #peerSaid(from: string, message: PeerMessage): void {
+    const peer = this.#peers.get(from);
+    if (!peer) return;
+    switch (message.t) {
+      case "beat":
+        peer.heardAt = this.ctx.now;
+        peer.stateOk = message.stateOk;
+        peer.token = message.token;
+        this.leadership.sawToken(message.token);
+        break;
+      case "job":
+        this.reign?.learnJob(message.item);
+        break;
+      case "progress":
+        for (const [uid, done, running] of message.rows) {
+          this.#progress.delete(uid);
+          this.#progress.set(uid, { done, running });
+        }
+        while (this.#progress.size > PROGRESS_KEPT) {
+          const oldest = this.#progress.keys().next();
+          if (oldest.done) break;
+          this.#progress.delete(oldest.value);
+        }
+        break;
+      case "report":
+      case "reportAnswer":
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+
+  #learned(item: StateItem): void {
+    if (this.reign) {
+      this.reign.learnJob(item);
+      return;
+    }
+    const leader = this.leaderName;
+    if (leader !== null && this.#peers.has(leader)) {
+      this.ctx.emit({ t: "peerSend", to: leader, message: { t: "job", item } });
+    }
+  }
+
+  /* ---- workers' reports ---- */
+
+  /** Only the leader's answers carry a token; null if this node may not answer. */
+  #leaderAnswer(report: Report): ReportAnswer | null {
+    const { reign } = this;
+    if (!reign || this.ctx.now >= reign.reigning.confirmedUntil + this.leadership.holdMs()) return null;
+    const answer = reign.report(report);
+    return reign.over ? null : answer;
+  }
+
+  #report(req: number, report: Report, raw: unknown): void {
+    const waiting = { req, report, raw, until: this.ctx.now + HOLD_REPORT_MS };
+    if (!this.#tryReport(waiting)) this.#waitingReports.push(waiting);
+  }
+
+  /** False while no leader is known that the report could be answered by, sent to or passed on to. */
+  #tryReport({ req, report, raw }: { req: number; report: Report; raw: unknown }): boolean {
+    const answer = this.#leaderAnswer(report);
+    if (answer) {
+      this.ctx.emit({ t: "reportAnswer", req, answer });
+      return true;
+    }
+    const leader = this.view.leader?.value.node;
+    if (leader === undefined || leader === this.ctx.deployment.node) return false;
+    const name = this.directory.machines.name(report.machine);
+    const before = this.#redirected.get(name);
+    if (before !== undefined && this.ctx.now - before < REDIRECT_MEMORY_MS && this.#peers.get(leader)?.up) {
+      this.ctx.emit({ t: "relay", req, to: leader, raw });
+    } else {
+      this.#redirected.set(name, this.ctx.now);
+      this.ctx.emit({ t: "reportAnswer", req, answer: { t: "elsewhere", node: leader } });
+    }
+    return true;
+  }
+
+  #answerWaiting(): void {
+    if (this.#waitingReports.length === 0) return;
+    const waiting = this.#waitingReports;
+    this.#waitingReports = [];
+    for (const entry of waiting) {
+      if (this.#tryReport(entry)) continue;
+      if (this.ctx.now < entry.until) this.#waitingReports.push(entry);
+      else this.ctx.emit({ t: "reportAnswer", req: entry.req, answer: { t: "elsewhere", node: null } });
+    }
+  }
+
+  /* ---- administration ---- */
+
+  #admin(ask: AdminAsk, answer: (a: AdminAnswer) => void): void {
+    switch (ask.t) {
+      case "settings":
+        this.ctx.state({ t: "get", key: KEYS.settings }, CALL_MS, (got) => {
+          if (got.t === "item") answer({ t: "ok", body: { ...readOperator(got.item.value) } });
+          else if (got.t === "absent") answer({ t: "ok", body: { ...readOperator(null) } });
+          else answer(later("the state service does not answer"));
+        });
+        break;
+      case "change":
+        this.#changeSettings(ask.values, answer);
+        break;
+      case "machine":
+        this.#changeMode(ask.name, ask.mode, answer);
+        break;
+      case "status":
+        answer({ t: "ok", body: this.status() });
+        break;
+      default:
+        ask satisfies never;
+    }
+  }
+
+  #changeSettings(values: Record<string, unknown>, answer: (a: AdminAnswer) => void): void {
+    this.ctx.state({ t: "get", key: KEYS.settings }, CALL_MS, (got) => {
+      if (got.t !== "item" && got.t !== "absent") {
+        answer(later("the state service does not answer"));
+        return;
+      }
+      const result = changeOperator(readOperator(got.t === "item" ? got.item.value : null), values);
+      if (!result.ok) {
+        answer({ t: "bad", error: result.error });
+        return;
+      }
+      const version = got.t === "item" ? got.item.version : 0;
+      this.#writeConfig(KEYS.settings, version, result.settings, answer, { ...result.settings });
+    });
+  }
+
+  #changeMode(name: string, mode: "open" | "cordon" | "drain", answer: (a: AdminAnswer) => void): void {
+    const modes = { ...this.view.modes };
+    if (mode === "open") delete modes[name];
+    else modes[name] = mode;
+    this.#writeConfig(KEYS.modes, this.view.modesVersion, modes, answer, { machine: name, mode });
+  }
+
+  #writeConfig(
+    key: string,
+    version: number,
+    value: unknown,
+    answer: (a: AdminAnswer) => void,
+    body: Record<string, unknown>,
+  ): void {
+    const conditions = [{ key, version }];
+    this.ctx.state({ t: "txn", conditions, changes: [{ put: key, value }] }, CALL_MS, (result) => {
+      if (result.t === "ok") {
+        this.view.note({ key, value, version: result.revision });
+        answer({ t: "ok", body });
+      } else {
+        answer(
+          later(result.t === "conflict" ? "changed at the same time" : "the state service does not answer"),
+        );
+      }
+    });
+  }
+
+  status(): Record<string, unknown> {
+    const { reign } = this;
+    const base = {
+      node: this.ctx.deployment.node,
+      leader: this.leaderName,
+      ready: this.ready,
+      leading: reign !== null,
+      peers: Object.fromEntries(
+        [...this.#peers].map(([name, peer]) => [name, { link: peer.up, state_ok: peer.stateOk }]),
+      ),
+    };
+    if (!reign) return base;
+    const { tables } = reign;
+    return {
+      ...base,
+      token: reign.reigning.token,
+      confirmed: this.leadership.confirmed,
+      machines: [...tables.machines.values()].map((machine) => ({
+        name: machine.name,
+        type: machine.typeName,
+        zone: machine.zone,
+        spot: machine.spot,
+        phase: machine.lost ? "lost" : machine.phase,
+        mode: machine.mode,
+        tasks: machine.placements.size,
+        share: Math.round(machine.share() * 1000) / 1000,
+      })),
+      jobs: tables.jobs.size,
+      queue: reign.scheduler.blocked.map(({ job, count }) => ({ job: job.uid, tasks: count })),
+      move: reign.mover.pending,
+      moves: reign.mover.moves,
+      rounds_cut: reign.scheduler.roundsCut,
+      unwritten: reign.recorder.backlog,
+    };
+  }
+}
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,383 @@
+import { add, ZERO } from "./amount.js";
+import type { Context } from "./context.js";
+import { DRIFT, type Leadership, type Reigning } from "./leadership.js";
+import type { Recorder } from "./recorder.js";
+import { type Job, type Machine, type Placement, type Tables, tokenOf } from "./tables.js";
+import type { Cause, Order, Report, ReportAnswer, ReportedTask } from "./types.js";
+
+const DO_RETRY_MS = 1500;
+const RESEND_MS = 1000;
+const LEASE_MARGIN_MS = 600;
+const IMAGE_GUESS_S = 30;
+
+export interface FleetEvents {
+  /** A placement is proved gone; the tables no longer hold it. */
+  gone(placement: Placement, cause: Cause | "lost"): void;
+  /** A replica or task was seen running for the first time. */
+  started(placement: Placement): void;
+  changed(): void;
+}
+
+/** The dealings with workers: reports in, orders out, and the proofs that a task is gone. */
+export class Fleet {
+  readonly #ctx: Context;
+  readonly #leadership: Leadership;
+  readonly #reign: Reigning;
+  readonly #tables: Tables;
+  readonly #recorder: Recorder;
+  readonly #events: FleetEvents;
+  readonly #doWaiting = new Map<number, Machine>();
+  /** Machines with orders to send at the end of this batch. */
+  readonly #wanting = new Set<Machine>();
+  /** False until the records are read: until then reports are answered but not acted on. */
+  loaded = false;
+
+  constructor(
+    ctx: Context,
+    leadership: Leadership,
+    reign: Reigning,
+    tables: Tables,
+    recorder: Recorder,
+    events: FleetEvents,
+  ) {
+    this.#ctx = ctx;
+    this.#leadership = leadership;
+    this.#reign = reign;
+    this.#tables = tables;
+    this.#recorder = recorder;
+    this.#events = events;
+  }
+
+  /** A report that this node answers as leader. */
+  answer(report: Report): ReportAnswer {
+    const machine = this.#take(report);
+    if (this.#leadership.reign !== this.#reign) return { t: "later" };
+    // Every answer renews the lease, also one to a report that a direct answer has overtaken.
+    machine.answeredAt = this.#ctx.now;
+    const orders = this.loaded ? this.#ordersFor(machine) : [];
+    return { t: "orders", token: this.#reign.token, orders };
+  }
+
+  doAnswered(id: number, report: Report | null, executed: boolean): void {
+    const machine = this.#doWaiting.get(id);
+    if (!machine) return;
+    this.#doWaiting.delete(id);
+    machine.doInFlight = false;
+    if (report && report.machine === machine.ix) {
+      this.#take(report);
+      if (this.#leadership.reign !== this.#reign) return;
+      // A refusal for another session executed nothing: show the token again, now that the session is known.
+      if (!executed && machine.adoptedAt === null && report.session === machine.session) this.fence(machine);
+    } else {
+      machine.doRetryAt = this.#ctx.now + DO_RETRY_MS;
+    }
+    if (machine.wantsDo) this.#wanting.add(machine);
+  }
+
+  /** Takes in a report; what it says counts only if it is newer than what is known. */
+  #take(report: Report): Machine {
+    const { now } = this.#ctx;
+    const name = this.#ctx.directory.machines.name(report.machine);
+    const machine = this.#tables.machine(name, report, now);
+    // A report that was held up may arrive after its machine's release: nothing is to be put there.
+    if (this.#tables.released.has(name)) machine.phase = "releasing";
+    this.#leadership.sawToken(report.token);
+    if (this.#leadership.reign !== this.#reign) return machine;
+    const newer =
+      report.session > machine.session ||
+      (report.session === machine.session && report.sequence > machine.sequence);
+    if (!newer) return machine;
+    if (machine.phase === "booting") {
+      machine.phase = "up";
+      this.#ctx.log("debug", "machine up", { machine: name, type: machine.typeName, zone: machine.zone });
+      this.#events.changed();
+    }
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.token = report.token;
+    machine.heardAt = now;
+    if (machine.lost) {
+      machine.lost = false;
+      this.#events.changed();
+    }
+    // Only a worker that carries a token of this reign has shut out all earlier leaders.
+    if (machine.adoptedAt === null && report.token >= this.#reign.firstToken) machine.adoptedAt = now;
+    if (report.noticeS !== null) {
+      if (machine.noticeUntil === null) {
+        this.#ctx.log("info", "machine will be taken back", { machine: name, in_s: report.noticeS });
+        this.#events.changed();
+      }
+      machine.noticeUntil = now + report.noticeS * 1000;
+    }
+    machine.report = report;
+    if (this.loaded) this.reconcile(machine);
+    return machine;
+  }
+
+  /** Compares what a worker reports with what is placed there. */
+  reconcile(machine: Machine): void {
+    const { report } = machine;
+    if (!report) return;
+    const reported = new Map<number, Map<number, ReportedTask>>();
+    for (const entry of report.tasks) {
+      let tasks = reported.get(entry.job);
+      if (!tasks) {
+        tasks = new Map();
+        reported.set(entry.job, tasks);
+      }
+      const other = tasks.get(entry.task);
+      // An ended attempt may still be listed beside its successor.
+      if (!other || other.state === "ended") tasks.set(entry.task, entry);
+    }
+    let stray = ZERO;
+    for (const placement of [...machine.placements]) {
+      const entry = reported.get(placement.job.ix)?.get(placement.task);
+      if (report.session > placement.session) {
+        this.#gone(placement, "lost");
+      } else if (entry && entry.attempt === placement.attempt) {
+        this.#seen(placement, entry);
+      } else if (placement.durable && this.#provedAbsent(machine, placement, report)) {
+        this.#gone(placement, "lost");
+      }
+    }
+    for (const entry of report.tasks) {
+      if (entry.state === "ended") continue;
+      const job = this.#tables.jobs.get(entry.job);
+      const placement = job?.held.get(entry.task);
+      if (placement && placement.machine === machine && placement.attempt === entry.attempt) continue;
+      if (job) stray = add(stray, job.spec.need);
+    }
+    machine.strayUse = stray;
+  }
+
+  /**
+   * "Not in the report" proves nothing while a start may be on its way. A start sent under an older token
+   * than the worker carries can no longer be executed.
+   */
+  #provedAbsent(machine: Machine, placement: Placement, report: Report): boolean {
+    return (
+      machine.adoptedAt !== null && report.token > placement.sentToken && this.#sentOrInherited(placement)
+    );
+  }
+
+  /** A placement of this reign whose start was never sent is not absent: it is yet to be started. */
+  #sentOrInherited(placement: Placement): boolean {
+    return placement.sentToken > 0 || tokenOf(placement.attempt) < this.#reign.firstToken;
+  }
+
+  #seen(placement: Placement, entry: ReportedTask): void {
+    const { now } = this.#ctx;
+    const before = placement.seen;
+    placement.seen = entry.state;
+    if (entry.state === "ended") {
+      this.#gone(placement, entry.cause ?? "error");
+      return;
+    }
+    const { machine, job } = placement;
+    const image = machine.images.get(job.spec.image);
+    if (entry.state === "fetching") {
+      if (!image) this.noteFetch(machine, job, now);
+    } else {
+      machine.images.set(job.spec.image, { readyAt: now, usedAt: now, gb: job.spec.imageGb });
+    }
+    if (entry.state === "running" && before !== "running") {
+      placement.runningSince ??= now;
+      this.#events.started(placement);
+    }
+  }
+
+  noteFetch(machine: Machine, job: Job, now: number): void {
+    const rate = machine.type?.fetchGbPerS ?? 0;
+    const seconds = rate > 0 ? job.spec.imageGb / rate : IMAGE_GUESS_S;
+    machine.images.set(job.spec.image, { readyAt: now + seconds * 1000, usedAt: now, gb: job.spec.imageGb });
+    this.#trimCache(machine);
+  }
+
+  /** Workers keep the most recently used images; so do we in what we believe of them. */
+  #trimCache(machine: Machine): void {
+    let sum = 0;
+    for (const image of machine.images.values()) sum += image.gb;
+    const limit = machine.type?.cacheGb ?? Number.POSITIVE_INFINITY;
+    while (sum > limit) {
+      let oldest: string | null = null;
+      let at = Number.POSITIVE_INFINITY;
+      for (const [name, image] of machine.images) {
+        if (image.usedAt < at) {
+          at = image.usedAt;
+          oldest = name;
+        }
+      }
+      if (oldest === null) return;
+      sum -= machine.images.get(oldest)?.gb ?? 0;
+      machine.images.delete(oldest);
+    }
+  }
+
+  #gone(placement: Placement, cause: Cause | "lost"): void {
+    this.#tables.unplace(placement);
+    this.#events.gone(placement, cause);
+  }
+
+  /** The orders a report is answered with; also what a direct command carries. */
+  #ordersFor(machine: Machine): Order[] {
+    const orders: Order[] = [];
+    const { now } = this.#ctx;
+    const { report } = machine;
+    const starting = this.#leadership.confirmed;
+    const { token } = this.#reign;
+    for (const placement of machine.placements) {
+      if (!placement.durable || placement.session !== machine.session) continue;
+      const { job, task, attempt } = placement;
+      const unseen = placement.seen === null;
+      if (unseen && placement.sentToken === 0 && this.#isStale(placement)) {
+        // Recorded under a token that was raised before its start was ever sent: begin anew.
+        this.#recorder.touch(job, task, false);
+        this.#gone(placement, "lost");
+        continue;
+      }
+      // A start is only ever sent under the token its attempt carries: what clearing relies on.
+      if (unseen && (tokenOf(attempt) !== token || !starting)) continue;
+      if (unseen && now - placement.sentAt >= (placement.stop ? 0 : RESEND_MS)) {
+        placement.sentAt = now;
+        placement.sentToken = token;
+        orders.push({ op: "start", job: job.ix, task, attempt });
+      }
+      const { stop } = placement;
+      if (stop && now - stop.sentAt >= RESEND_MS && !(placement.seen === "saving" && stop.graceS > 0)) {
+        stop.sentAt = now;
+        orders.push({ op: "stop", job: job.ix, task, attempt, graceS: stop.graceS });
+      }
+    }
+    if (report && report.session === machine.session) this.#tidy(machine, report, orders);
+    return orders;
+  }
+
+  #isStale({ attempt }: Placement): boolean {
+    return tokenOf(attempt) >= this.#reign.firstToken && tokenOf(attempt) < this.#reign.token;
+  }
+
+  /** Starts under way that a raised token would cut off. */
+  startsUnderWay(): boolean {
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.lost || machine.phase !== "up") continue;
+      for (const p of machine.placements)
+        if (p.seen === null && tokenOf(p.attempt) === this.#reign.token) return true;
+    }
+    return false;
+  }
+
+  /** Strays are stopped; ended attempts are cleared once no start for them can still arrive. */
+  #tidy(machine: Machine, report: Report, orders: Order[]): void {
+    for (const entry of report.tasks) {
+      const job = this.#tables.jobs.get(entry.job);
+      const placement = job?.held.get(entry.task);
+      const ours = placement?.machine === machine && placement.attempt === entry.attempt;
+      if (ours) continue;
+      const { job: ix, task, attempt } = entry;
+      if (entry.state !== "ended") {
+        orders.push({ op: "stop", job: ix, task, attempt, graceS: 0 });
+      } else if (
+        tokenOf(attempt) < machine.token &&
+        machine.token === this.#reign.token &&
+        !(job && this.#recorder.isDirty(job, task))
+      ) {
+        // Repeats of starts that were carried out may arrive late; this worker refuses them by their token.
+        orders.push({ op: "forget", job: ix, task, attempt });
+      }
+    }
+  }
+
+  /** Asks for a task to be stopped; one that was never sent is simply taken back. */
+  stop(placement: Placement, graceS: number, why: string): void {
+    if (
+      !placement.durable &&
+      placement.sentToken === 0 &&
+      tokenOf(placement.attempt) >= this.#reign.firstToken
+    ) {
+      this.#tables.unplace(placement);
+      this.#recorder.touch(placement.job, placement.task, false);
+      this.#events.gone(placement, "stopped");
+      return;
+    }
+    const { stop } = placement;
+    if (stop && stop.graceS <= graceS) return;
+    placement.stop = {
+      graceS,
+      at: stop?.at ?? this.#ctx.now,
+      sentAt: Number.NEGATIVE_INFINITY,
+      why,
+    };
+    this.want(placement.machine);
+  }
+
+  /** Sends what there is for this machine directly, at the end of this batch. */
+  want(machine: Machine): void {
+    machine.wantsDo = true;
+    this.#wanting.add(machine);
+  }
+
+  sendWanted(): void {
+    const { now } = this.#ctx;
+    for (const machine of this.#wanting) {
+      this.#wanting.delete(machine);
+      if (machine.doInFlight || now < machine.doRetryAt || machine.phase !== "up" || machine.session === 0) {
+        continue;
+      }
+      machine.wantsDo = false;
+      const orders = this.#ordersFor(machine);
+      if (orders.length > 0) this.#sendDo(machine, machine.session, orders);
+    }
+  }
+
+  /** Shows a worker the token at once, so that it adopts this leader without waiting for its next report. */
+  fence(machine: Machine): void {
+    if (!machine.doInFlight && machine.address !== "")
+      this.#sendDo(machine, Math.max(1, machine.session), []);
+  }
+
+  #sendDo(machine: Machine, session: number, orders: readonly Order[]): void {
+    const id = this.#ctx.nextId();
+    machine.doInFlight = true;
+    this.#doWaiting.set(id, machine);
+    this.#ctx.emit({
+      t: "do",
+      id,
+      machine: machine.ix,
+      address: machine.address,
+      token: this.#reign.token,
+      session,
+      orders,
+    });
+  }
+
+  /** The time from which a silent worker has killed its tasks: proof by lease. */
+  #leaseOverAt(machine: Machine): number {
+    const leaseMs = this.#ctx.deployment.leaseS * 1000 * DRIFT + LEASE_MARGIN_MS;
+    if (machine.adoptedAt !== null) return Math.max(machine.answeredAt, machine.adoptedAt) + leaseMs;
+    // Not adopted: an earlier leader may have answered it up to the end of its hold.
+    const grantMs = this.#ctx.settings.leader_grant_ms;
+    const hold = this.#reign.succeedsItself ? 0 : this.#leadership.holdMs() + grantMs;
+    return Math.max(this.#reign.since + hold * DRIFT, machine.answeredAt) + leaseMs;
+  }
+
+  tick(): void {
+    if (!this.loaded) return;
+    const { now } = this.#ctx;
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.phase !== "booting" && !machine.lost && now >= this.#leaseOverAt(machine)) {
+        this.dropAll(machine, "its lease is over");
+      }
+      if (machine.wantsDo) this.#wanting.add(machine);
+    }
+  }
+
+  /** Every task on this machine is proved gone. */
+  dropAll(machine: Machine, why: string): void {
+    machine.lost = true;
+    machine.strayUse = ZERO;
+    const placements = [...machine.placements];
+    this.#ctx.log("info", "machine lost", { machine: machine.name, why, tasks: placements.length });
+    for (const placement of placements) this.#gone(placement, "lost");
+    this.#events.changed();
+  }
+}
--- /dev/null
+++ b/src/core/hirer.ts
@@ -0,0 +1,386 @@
+import { fits, times } from "./amount.js";
+import type { Context } from "./context.js";
+import type { Fleet } from "./fleet.js";
+import type { Reigning } from "./leadership.js";
+import type { Recorder } from "./recorder.js";
+import type { Blocked, Scheduler } from "./scheduler.js";
+import type { Job, Machine, Tables } from "./tables.js";
+import type { ListedMachine, MachineType } from "./types.js";
+
+const LIST_MS = 4000;
+const TYPES_MS = 60_000;
+const REFUSED_MS = 8000;
+const REFUSED_MAX_MS = 60_000;
+const RELEASE_RETRY_MS = 3000;
+/** Backlogs of arrays are given machines enough to work them off in about this time. */
+const DRAIN_S = 45;
+const SPOT_RISK = 1.25;
+const MIN_CHARGE_MS = 60_000;
+
+interface Offer {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** Rents machines for what finds no place, and gives back what is idle, stuck or broken. */
+export class Hirer {
+  readonly #ctx: Context;
+  readonly #reign: Reigning;
+  readonly #tables: Tables;
+  readonly #fleet: Fleet;
+  readonly #recorder: Recorder;
+  readonly #scheduler: Scheduler;
+  readonly #refused = new Map<string, { until: number; waitMs: number }>();
+  readonly #hiring = new Map<string, number>();
+  readonly #typesRead: (types: readonly MachineType[]) => void;
+  #requests = 0;
+  #listing = false;
+  #listedAt = Number.NEGATIVE_INFINITY;
+  #typesAt = Number.NEGATIVE_INFINITY;
+  #releasing = false;
+  /** No hiring before the first full list of this reign: machines an earlier leader rented count too. */
+  #listedOnce = false;
+
+  constructor(
+    ctx: Context,
+    reign: Reigning,
+    tables: Tables,
+    fleet: Fleet,
+    recorder: Recorder,
+    scheduler: Scheduler,
+    typesRead: (types: readonly MachineType[]) => void,
+  ) {
+    this.#ctx = ctx;
+    this.#reign = reign;
+    this.#tables = tables;
+    this.#fleet = fleet;
+    this.#recorder = recorder;
+    this.#scheduler = scheduler;
+    this.#typesRead = typesRead;
+  }
+
+  tick(confirmed: boolean): void {
+    const { now } = this.#ctx;
+    if (!this.#listing && now - this.#listedAt >= LIST_MS) this.#list();
+    if (now - this.#typesAt >= (this.#tables.types.size === 0 ? 1000 : TYPES_MS)) this.#readTypes();
+    this.#watchMachines();
+    if (!confirmed) return;
+    this.#release();
+    if (this.#listedOnce && this.#tables.types.size > 0) this.#hire();
+  }
+
+  #readTypes(): void {
+    this.#typesAt = this.#ctx.now;
+    this.#ctx.cloud({ t: "types" }, (answer) => {
+      if (answer.t === "types") this.#typesRead(answer.types);
+    });
+  }
+
+  #list(): void {
+    this.#listing = true;
+    this.#listedAt = this.#ctx.now;
+    const asked = this.#ctx.now;
+    const found: ListedMachine[] = [];
+    const next = (after: string | null) => {
+      this.#ctx.cloud({ t: "list", after }, (answer) => {
+        if (answer.t !== "page") {
+          this.#listing = false;
+          return;
+        }
+        found.push(...answer.machines);
+        const last = answer.machines.at(-1);
+        if (answer.more && last) next(last.name);
+        else {
+          this.#listing = false;
+          this.#listed(found, asked);
+        }
+      });
+    };
+    next(null);
+  }
+
+  /** The list lags and may step back: it adds machines, but its silence proves nothing by itself. */
+  #listed(found: readonly ListedMachine[], asked: number): void {
+    const { now } = this.#ctx;
+    this.#listedOnce = true;
+    for (const listed of found) {
+      const ix = this.#ctx.directory.machines.find(listed.name);
+      const known = ix === undefined ? undefined : this.#tables.machines.get(ix);
+      // An old list may still show a machine that has been released; one that answers nothing is released again.
+      if (!known && this.#tables.released.has(listed.name)) continue;
+      const machine = known ?? this.#tables.machine(listed.name, listed, now - listed.ageS * 1000);
+      machine.listed = true;
+      machine.listedAt = asked;
+      if (listed.phase === "failed" && machine.phase !== "releasing") this.#giveUp(machine, "it failed");
+    }
+    for (const [name, at] of this.#tables.released) {
+      if (now - at > this.#ctx.deployment.listLagS * 4000 + 60_000) this.#tables.released.delete(name);
+    }
+  }
+
+  #giveUp(machine: Machine, why: string): void {
+    if (machine.phase === "releasing") return;
+    machine.phase = "releasing";
+    machine.releaseWhy = why;
+    this.#ctx.log("debug", "machine to be released", { machine: machine.name, why });
+  }
+
+  #watchMachines(): void {
+    const { now, settings, deployment } = this.#ctx;
+    const up = [...this.#tables.machines.values()].filter((m) => m.phase === "up");
+    const silentMs = deployment.reportS * 3500 + 1000;
+    const silent = up.filter((m) => now - m.heardAt > silentMs).length;
+    // When most are silent it is this node that is cut off, not the machines that are gone.
+    const hearing = silent <= Math.max(1, up.length / 3);
+    for (const machine of this.#tables.machines.values()) {
+      switch (machine.phase) {
+        case "booting": {
+          const bootS = machine.type?.bootS ?? 60;
+          if (now - machine.bootingSince > bootS * settings.boot_factor * 1000) {
+            this.#giveUp(machine, "it never came up");
+          }
+          break;
+        }
+        case "up": {
+          const quiet = now - machine.heardAt;
+          if (machine.placements.size > 0 || machine.strayUse.cpu > 0) machine.idleSince = null;
+          else machine.idleSince ??= now;
+          if (!hearing) break;
+          const noticed = machine.noticeUntil !== null && now > machine.noticeUntil;
+          if (machine.lost && quiet > deployment.leaseS * 2000) this.#giveUp(machine, "silent");
+          else if (quiet > silentMs && (machine.spot || noticed) && now - this.#reign.since > silentMs) {
+            this.#giveUp(machine, "taken back");
+          } else if (machine.mode === "drain" && machine.placements.size === 0) {
+            this.#giveUp(machine, "drained");
+          } else if (
+            machine.idleSince !== null &&
+            now - machine.idleSince > settings.idle_s * 1000 &&
+            now - machine.bootingSince > MIN_CHARGE_MS &&
+            this.#scheduler.blocked.every(({ job }) => !this.#scheduler.allows(job, machine))
+          ) {
+            this.#giveUp(machine, "idle");
+          }
+          break;
+        }
+        case "releasing":
+          break;
+      }
+    }
+  }
+
+  #release(): void {
+    const { now } = this.#ctx;
+    if (this.#releasing) return;
+    const due: Machine[] = [];
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.phase === "releasing" && now >= machine.releaseRetryAt && due.length < 100)
+        due.push(machine);
+    }
+    if (due.length === 0) return;
+    this.#releasing = true;
+    this.#ctx.cloud({ t: "release", machines: due.map((m) => m.name) }, (answer) => {
+      this.#releasing = false;
+      for (const machine of due) {
+        if (answer.t !== "released") {
+          machine.releaseRetryAt = this.#ctx.now + RELEASE_RETRY_MS;
+          continue;
+        }
+        // The cloud's word: the machine and all that was on it are gone.
+        this.#ctx.log("info", "machine released", { machine: machine.name, why: machine.releaseWhy });
+        this.#fleet.dropAll(machine, "released");
+        this.#tables.released.set(machine.name, this.#ctx.now);
+        if (machine.recorded) this.#recorder.machineGone(machine.name);
+        this.#tables.removeMachine(machine);
+      }
+    });
+  }
+
+  #hire(): void {
+    const { now, settings } = this.#ctx;
+    // What is coming up is booked first.
+    const coming = new Map<string, { offer: Offer; slots: { cpu: number; gpu: number; ram: number }[] }>();
+    let total = 0;
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.phase === "releasing") continue;
+      total++;
+      if (machine.phase !== "booting" || !machine.type) continue;
+      this.#addComing(coming, { type: machine.type, zone: machine.zone, spot: machine.spot }, 1);
+    }
+    for (const [key, count] of this.#hiring) {
+      const [typeName = "", zone = "", spot = ""] = key.split(" ");
+      const type = this.#tables.types.get(typeName);
+      total += count;
+      if (type) this.#addComing(coming, { type, zone, spot: spot === "spot" }, count);
+    }
+    const wanted = new Map<string, { offer: Offer; count: number }>();
+    for (const entry of this.#scheduler.blocked) {
+      const { job } = entry;
+      if (job.state !== "active" || job.pending === 0) continue;
+      let slots = this.#slotsFor(entry);
+      const zone = job.spec.oneZone ? this.#zoneOf(job, coming, slots) : null;
+      for (const { offer, slots: rooms } of coming.values()) {
+        if (!this.#offerSuits(job, offer) || (zone !== null && offer.zone !== zone)) continue;
+        for (const room of rooms) {
+          while (slots > 0 && fits(job.spec.need, room)) {
+            room.cpu -= job.spec.need.cpu;
+            room.gpu -= job.spec.need.gpu;
+            room.ram -= job.spec.need.ram;
+            slots--;
+          }
+        }
+      }
+      while (slots > 0 && total < settings.max_machines) {
+        const offer = this.#cheapest(job, zone, slots, now);
+        if (!offer) break;
+        const per = times(job.spec.need, offer.type.size);
+        const count = Math.min(50, Math.ceil(slots / per), settings.max_machines - total);
+        const key = keyOf(offer);
+        const sum = wanted.get(key);
+        if (sum) sum.count += count;
+        else wanted.set(key, { offer, count });
+        total += count;
+        this.#addComing(coming, offer, count, job, Math.min(slots, per * count));
+        slots -= per * count;
+      }
+    }
+    for (const { offer, count } of wanted.values()) this.#request(offer, Math.min(50, count));
+  }
+
+  #addComing(
+    coming: Map<string, { offer: Offer; slots: { cpu: number; gpu: number; ram: number }[] }>,
+    offer: Offer,
+    count: number,
+    job: Job | null = null,
+    tasks = 0,
+  ): void {
+    const key = keyOf(offer);
+    let entry = coming.get(key);
+    if (!entry) {
+      entry = { offer, slots: [] };
+      coming.set(key, entry);
+    }
+    let left = tasks;
+    for (let i = 0; i < count; i++) {
+      const room = { ...offer.type.size };
+      while (job && left > 0 && fits(job.spec.need, room)) {
+        room.cpu -= job.spec.need.cpu;
+        room.gpu -= job.spec.need.gpu;
+        room.ram -= job.spec.need.ram;
+        left--;
+      }
+      entry.slots.push(room);
+    }
+  }
+
+  #slotsFor({ job, count }: Blocked): number {
+    if (job.spec.shape !== "array" || job.spec.estimateS <= 0) return count;
+    const want = Math.ceil(((job.pending + job.held.size) * job.spec.estimateS) / DRAIN_S);
+    return Math.max(0, Math.min(count, want - job.held.size));
+  }
+
+  /** For a job that must stay in one zone: where most of its tasks find room once the boots are done. */
+  #zoneOf(
+    job: Job,
+    coming: Map<string, { offer: Offer; slots: { cpu: number; gpu: number; ram: number }[] }>,
+    slots: number,
+  ): string | null {
+    const room = new Map<string, number>();
+    for (const machine of this.#tables.machines.values()) {
+      if (!this.#scheduler.usable(machine) || !this.#scheduler.allows(job, machine)) continue;
+      room.set(machine.zone, (room.get(machine.zone) ?? 0) + times(job.spec.need, machine.room()));
+    }
+    for (const { offer, slots: rooms } of coming.values()) {
+      if (!this.#offerSuits(job, offer)) continue;
+      for (const r of rooms) room.set(offer.zone, (room.get(offer.zone) ?? 0) + times(job.spec.need, r));
+    }
+    let best: string | null = null;
+    let most = -1;
+    for (const zone of this.#ctx.deployment.zones) {
+      const n = Math.min(slots, room.get(zone) ?? 0);
+      const offer = this.#cheapest(job, zone, slots, this.#ctx.now);
+      if (n < slots && !offer) continue;
+      if (n > most) {
+        most = n;
+        best = zone;
+      }
+    }
+    return best;
+  }
+
+  #offerSuits(job: Job, { type, zone, spot }: Offer): boolean {
+    const { spec } = job;
+    return (
+      (spec.types === null || spec.types.includes(type.name)) &&
+      (spec.zone === null || spec.zone === zone) &&
+      (spec.spot || !spot) &&
+      fits(spec.need, type.size)
+    );
+  }
+
+  #cheapest(job: Job, zone: string | null, slots: number, now: number): Offer | null {
+    let best: Offer | null = null;
+    let bestCost = Number.POSITIVE_INFINITY;
+    const perZone = new Map<string, number>();
+    if (job.spec.spread) for (const z of this.#ctx.deployment.zones) perZone.set(z, job.inZone(z));
+    for (const type of this.#tables.types.values()) {
+      for (const z of type.zones) {
+        if (zone !== null && z !== zone) continue;
+        if (job.spec.spread && (perZone.get(z) ?? 0) >= Math.ceil(job.spec.tasks / 2)) continue;
+        for (const spot of [false, true]) {
+          const offer = { type, zone: z, spot };
+          if (!this.#offerSuits(job, offer)) continue;
+          if ((this.#refused.get(keyOf(offer))?.until ?? 0) > now) continue;
+          const price = spot ? type.spotPrice * SPOT_RISK : type.price;
+          const per = times(job.spec.need, type.size);
+          const cost = price / Math.min(per, Math.max(slots, per / 2));
+          if (cost < bestCost) {
+            best = offer;
+            bestCost = cost;
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  #request(offer: Offer, count: number): void {
+    const key = keyOf(offer);
+    if (this.#hiring.has(key)) return;
+    // The token and a counter: a name that no other leader, nor this one, ever uses again.
+    const request = `r-${this.#reign.firstToken}-${++this.#requests}`;
+    this.#hiring.set(key, count);
+    const { type, zone, spot } = offer;
+    this.#ctx.cloud({ t: "hire", request, type: type.name, zone, spot, count }, (answer) => {
+      this.#hiring.delete(key);
+      const { now } = this.#ctx;
+      if (answer.t === "hired") {
+        this.#ctx.log("info", "machines hired", {
+          type: type.name,
+          zone,
+          spot,
+          count,
+          got: answer.machines.length,
+        });
+        for (const name of answer.machines) {
+          this.#tables.machine(name, { address: "", type: type.name, zone, spot }, now);
+        }
+        if (answer.machines.length < count) this.#refuse(key);
+        else this.#refused.delete(key);
+      } else {
+        if (answer.t === "no_capacity")
+          this.#ctx.log("debug", "no capacity", { type: type.name, zone, spot });
+        this.#refuse(key);
+      }
+    });
+  }
+
+  #refuse(key: string): void {
+    const waitMs = Math.min(REFUSED_MAX_MS, (this.#refused.get(key)?.waitMs ?? REFUSED_MS / 2) * 2);
+    this.#refused.set(key, { until: this.#ctx.now + waitMs, waitMs });
+  }
+}
+
+function keyOf({ type, zone, spot }: Offer): string {
+  return `${type.name} ${zone} ${spot ? "spot" : "ordinary"}`;
+}
--- /dev/null
+++ b/src/core/leadership.ts
@@ -0,0 +1,295 @@
+import type { Context } from "./context.js";
+import { int } from "./random.js";
+import { KEYS, type LeaderRecord } from "./records.js";
+import type { ConfigView } from "./view.js";
+
+/** Clocks may differ by 0.05%; whatever is waited out is stretched by twice that. */
+export const DRIFT = 1.001;
+const MARGIN_MS = 250;
+const CALL_MS = 900;
+
+export type Standing =
+  | { readonly t: "follower" }
+  | { readonly t: "standing"; readonly since: number }
+  | { readonly t: "leader"; readonly reign: Reigning };
+
+/** The facts of one time in office. */
+export interface Reigning {
+  readonly grant: number;
+  /** Raised now and then by the leader itself; everything sent carries it. */
+  token: number;
+  readonly firstToken: number;
+  /** The version of the leader key: every transaction of this leader depends on it. */
+  readonly version: number;
+  epochVersion: number;
+  readonly since: number;
+  confirmedUntil: number;
+  /** An earlier incarnation of this very node held the office: its processes are gone for certain. */
+  readonly succeedsItself: boolean;
+}
+
+export interface LeadershipEvents {
+  elected(reign: Reigning): void;
+  deposed(why: string): void;
+  startsUnderWay(): boolean;
+}
+
+/**
+ * One leader under a grant of the state service. The token comes from the epoch key, which every
+ * acquisition raises in the same transaction: tokens never repeat nor go back.
+ */
+export class Leadership {
+  readonly #ctx: Context;
+  readonly #view: ConfigView;
+  readonly #events: LeadershipEvents;
+  readonly #incarnation: string;
+  standing: Standing = { t: "follower" };
+  #standAt = 0;
+  #renewing = false;
+  #renewedAt = 0;
+  #raising = false;
+  #raisedAt = 0;
+  /** The highest token this node has seen anywhere. */
+  highestSeen = 0;
+
+  constructor(ctx: Context, view: ConfigView, incarnation: string, events: LeadershipEvents) {
+    this.#ctx = ctx;
+    this.#view = view;
+    this.#incarnation = incarnation;
+    this.#events = events;
+  }
+
+  get reign(): Reigning | null {
+    return this.standing.t === "leader" ? this.standing.reign : null;
+  }
+
+  get confirmed(): boolean {
+    const reign = this.reign;
+    return reign !== null && this.#ctx.now < reign.confirmedUntil;
+  }
+
+  /**
+   * How long an unconfirmed leader goes on answering reports. Bounded so that a cut-off leader and the
+   * leases it renewed are over before a cancelled task must be gone.
+   */
+  holdMs(): number {
+    const { cancelS, leaseS } = this.#ctx.deployment;
+    const { hold_s, leader_grant_ms } = this.#ctx.settings;
+    const bound = cancelS - leaseS * DRIFT - leader_grant_ms / 1000 - 3;
+    return Math.max(0, Math.min(hold_s, bound)) * 1000;
+  }
+
+  /** A higher token seen anywhere ends this reign. */
+  sawToken(token: number): void {
+    if (token > this.highestSeen) this.highestSeen = token;
+    const reign = this.reign;
+    if (reign && token > reign.token && !this.#raising) this.stepDown("a higher token was seen");
+  }
+
+  stepDown(why: string): void {
+    if (this.standing.t !== "leader") return;
+    this.standing = { t: "follower" };
+    this.#standAt = this.#ctx.now + 500;
+    this.#events.deposed(why);
+  }
+
+  configChanged(key: string): void {
+    const reign = this.reign;
+    if (key === KEYS.leader && reign) {
+      const held = this.#view.leader;
+      if (held && held.version > reign.version) this.stepDown("another leader is recorded");
+      else if (held === null) this.stepDown("the leader key is gone");
+    }
+    // The key is gone: stand soon, but not all nodes in the same moment.
+    if (key === KEYS.leader && !this.#view.leader && this.standing.t === "follower") {
+      this.#standAt = Math.max(this.#standAt, this.#ctx.now + int(this.#ctx.random, 0, 150));
+    }
+  }
+
+  tick(): void {
+    const { standing } = this;
+    switch (standing.t) {
+      case "follower":
+        this.#maybeStand();
+        break;
+      case "standing":
+        break;
+      case "leader":
+        this.#reignOn(standing.reign);
+        break;
+    }
+  }
+
+  #maybeStand(): void {
+    const { now } = this.#ctx;
+    if (!this.#view.loaded || now < this.#standAt || this.#ctx.stateFailingSince !== null) return;
+    const held = this.#view.leader;
+    const own = held !== null && held.value.node === this.#ctx.deployment.node;
+    if (held && !(own && held.value.incarnation !== this.#incarnation)) return;
+    this.#stand(held ? held.version : 0, own);
+  }
+
+  #stand(leaderVersion: number, succeedsItself: boolean): void {
+    const ctx = this.#ctx;
+    this.standing = { t: "standing", since: ctx.now };
+    const asked = ctx.now;
+    const lifeMs = ctx.settings.leader_grant_ms;
+    ctx.state({ t: "grant", lifeMs }, CALL_MS, (granted) => {
+      if (granted.t !== "granted") {
+        this.#lost("no grant");
+        return;
+      }
+      const { grant } = granted;
+      const epoch = this.#view.epoch;
+      const token = (epoch?.value ?? 0) + 1;
+      const record: LeaderRecord = { node: ctx.deployment.node, incarnation: this.#incarnation, token };
+      ctx.state(
+        {
+          t: "txn",
+          conditions: [
+            { key: KEYS.leader, version: leaderVersion },
+            { key: KEYS.epoch, version: epoch?.version ?? 0 },
+          ],
+          changes: [
+            { put: KEYS.leader, value: record, grant },
+            { put: KEYS.epoch, value: { token } },
+          ],
+        },
+        CALL_MS,
+        (answer) => {
+          if (answer.t !== "ok") {
+            // Also after silence: it may be, or may yet be, executed. The grant is given back, which
+            // takes the key with it; a late execution then fails for want of the grant.
+            ctx.state({ t: "drop", grant }, CALL_MS, () => {});
+            this.#lost(answer.t);
+            return;
+          }
+          const version = answer.revision;
+          const reign: Reigning = {
+            grant,
+            token,
+            firstToken: token,
+            version,
+            epochVersion: version,
+            since: ctx.now,
+            confirmedUntil: asked + lifeMs / DRIFT - MARGIN_MS,
+            succeedsItself,
+          };
+          this.standing = { t: "leader", reign };
+          this.#renewedAt = asked;
+          this.#raisedAt = ctx.now;
+          this.highestSeen = Math.max(this.highestSeen, token);
+          this.#view.note({ key: KEYS.leader, value: record, version });
+          this.#view.note({ key: KEYS.epoch, value: { token }, version });
+          this.#events.elected(reign);
+        },
+      );
+    });
+  }
+
+  #lost(why: string): void {
+    this.standing = { t: "follower" };
+    this.#standAt = this.#ctx.now + int(this.#ctx.random, 200, 600);
+    this.#ctx.log("debug", "did not become leader", { why });
+    this.#view.refresh();
+  }
+
+  #reignOn(reign: Reigning): void {
+    const ctx = this.#ctx;
+    if (ctx.now >= reign.confirmedUntil + this.holdMs()) {
+      this.stepDown("unconfirmed for too long");
+      return;
+    }
+    const lifeMs = ctx.settings.leader_grant_ms;
+    if (!this.#renewing && ctx.now - this.#renewedAt >= lifeMs / 4) this.#renew(reign, lifeMs);
+    if (
+      !this.#raising &&
+      ctx.now < reign.confirmedUntil &&
+      ctx.now - this.#raisedAt >= ctx.settings.token_raise_s * 1000 &&
+      // Starts under way would have to begin anew, so they are let through first, within reason.
+      (!this.#events.startsUnderWay() || ctx.now - this.#raisedAt >= ctx.settings.token_raise_s * 2000)
+    ) {
+      this.raiseToken();
+    }
+  }
+
+  #renew(reign: Reigning, lifeMs: number): void {
+    const ctx = this.#ctx;
+    const asked = ctx.now;
+    this.#renewing = true;
+    this.#renewedAt = asked;
+    ctx.state({ t: "renew", grant: reign.grant }, CALL_MS, (answer) => {
+      this.#renewing = false;
+      if (this.reign !== reign) return;
+      if (answer.t === "ok") reign.confirmedUntil = asked + lifeMs / DRIFT - MARGIN_MS;
+      else if (answer.t === "absent") this.stepDown("the grant is gone");
+    });
+  }
+
+  /**
+   * Raises the token within the reign. What was sent under the former one can no longer be executed
+   * by a worker that has seen the new one, which is what makes clearing ended attempts safe.
+   */
+  raiseToken(): void {
+    const ctx = this.#ctx;
+    const { reign } = this;
+    if (!reign || this.#raising || !this.confirmed) return;
+    this.#raising = true;
+    this.#raisedAt = ctx.now;
+    const token = reign.token + 1;
+    ctx.state(
+      {
+        t: "txn",
+        conditions: [
+          { key: KEYS.leader, version: reign.version },
+          { key: KEYS.epoch, version: reign.epochVersion },
+        ],
+        changes: [{ put: KEYS.epoch, value: { token } }],
+      },
+      CALL_MS,
+      (answer) => {
+        if (this.reign !== reign) {
+          this.#raising = false;
+          return;
+        }
+        if (answer.t === "ok") {
+          this.#raising = false;
+          this.#advance(reign, token, answer.revision);
+        } else if (answer.t === "refused") {
+          this.#raising = false;
+        } else {
+          this.#reread(reign);
+        }
+      },
+    );
+  }
+
+  #advance(reign: Reigning, token: number, version: number): void {
+    reign.token = token;
+    reign.epochVersion = version;
+    this.highestSeen = Math.max(this.highestSeen, token);
+    this.#view.note({ key: KEYS.epoch, value: { token }, version });
+  }
+
+  /**
+   * The raise may have been executed without our knowing, so the key is read before deciding. While the
+   * leader key is ours nobody else can have raised it: a higher value under it is our own.
+   */
+  #reread(reign: Reigning): void {
+    const ctx = this.#ctx;
+    ctx.state({ t: "list", prefix: KEYS.config, after: null }, CALL_MS, (answer) => {
+      this.#raising = false;
+      if (this.reign !== reign || answer.t !== "page") return;
+      const leader = answer.items.find((item) => item.key === KEYS.leader);
+      const epoch = answer.items.find((item) => item.key === KEYS.epoch);
+      if (leader?.version !== reign.version) {
+        this.stepDown("another leader is recorded");
+        return;
+      }
+      const token = (epoch?.value as { token?: unknown } | undefined)?.token;
+      if (epoch && typeof token === "number" && token >= reign.token) {
+        this.#advance(reign, token, epoch.version);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/core/names.ts
@@ -0,0 +1,61 @@
+/**
+ * Maps names to dense indices. A freed index is given out again only two batches later: until then
+ * commands that were mapped at the door before it was freed may still carry it.
+ */
+export class Names {
+  readonly #index = new Map<string, number>();
+  readonly #names: (string | undefined)[] = [];
+  readonly #free: number[] = [];
+  #retired: number[] = [];
+  #retiring: number[] = [];
+
+  intern(name: string): number {
+    const known = this.#index.get(name);
+    if (known !== undefined) return known;
+    const index = this.#free.pop() ?? this.#names.length;
+    this.#names[index] = name;
+    this.#index.set(name, index);
+    return index;
+  }
+
+  find(name: string): number | undefined {
+    return this.#index.get(name);
+  }
+
+  name(index: number): string {
+    const name = this.#names[index];
+    if (name === undefined) throw new RangeError(`no name has index ${index}`);
+    return name;
+  }
+
+  /** Frees every index that `keep` does not hold. */
+  sweep(keep: ReadonlySet<number>): void {
+    for (const [name, index] of this.#index) {
+      if (keep.has(index)) continue;
+      this.#index.delete(name);
+      this.#retiring.push(index);
+    }
+  }
+
+  /** Called once at the start of each batch. */
+  turn(): void {
+    if (this.#retired.length === 0 && this.#retiring.length === 0) return;
+    for (const index of this.#retired) {
+      this.#names[index] = undefined;
+      this.#free.push(index);
+    }
+    this.#retired = this.#retiring;
+    this.#retiring = [];
+  }
+}
+
+/** The name tables that the door and the core share. */
+export class Directory {
+  readonly jobs = new Names();
+  readonly machines = new Names();
+
+  turn(): void {
+    this.jobs.turn();
+    this.machines.turn();
+  }
+}
--- /dev/null
+++ b/src/core/records.ts
@@ -0,0 +1,114 @@
+import * as v from "valibot";
+import type { JobSpec, MachineType } from "./types.js";
+
+/**
+ * The durable records and their keys. Values carry names, never indices: they outlive every process.
+ *   c/…  leader, epoch, operators' settings, machine types, the pending move: followed by every node
+ *   j/…  jobs that are not over, f/… jobs that are, p/… placements in chunks, m/… machines
+ */
+export const KEYS = {
+  config: "c/",
+  leader: "c/leader",
+  epoch: "c/epoch",
+  settings: "c/settings",
+  types: "c/types",
+  move: "c/move",
+  modes: "c/modes",
+  job: (uid: string) => `j/${uid}`,
+  final: (uid: string) => `f/${uid}`,
+  chunk: (uid: string, chunk: number) => `p/${uid}/${chunk}`,
+  machine: (name: string) => `m/${name}`,
+} as const;
+
+export const CHUNK_TASKS = 64;
+
+const amount = v.object({ cpu: v.number(), gpu: v.number(), ram: v.number() });
+const spec = v.object({
+  uid: v.string(),
+  jobClass: v.string(),
+  team: v.string(),
+  shape: v.picklist(["array", "gang", "service"]),
+  priority: v.picklist([0, 1, 2, 3]),
+  tasks: v.number(),
+  need: amount,
+  image: v.string(),
+  imageGb: v.number(),
+  types: v.nullable(v.array(v.string())),
+  zone: v.nullable(v.string()),
+  oneZone: v.boolean(),
+  spread: v.boolean(),
+  spot: v.boolean(),
+  estimateS: v.number(),
+  checkpointS: v.number(),
+  saveS: v.number(),
+  deadlineS: v.nullable(v.number()),
+});
+
+const jobRecord = v.object({ state: v.picklist(["active", "cancelled"]), acceptedAt: v.number(), spec });
+const finalRecord = v.object({ state: v.picklist(["done", "cancelled"]), tasks: v.number() });
+const chunkRecord = v.object({
+  /** task, machine, session, attempt */
+  held: v.array(v.tuple([v.number(), v.string(), v.number(), v.number()])),
+  done: v.array(v.tuple([v.number(), v.number()])),
+});
+const machineRecord = v.object({
+  address: v.string(),
+  type: v.string(),
+  zone: v.string(),
+  spot: v.boolean(),
+});
+const leaderRecord = v.object({ node: v.string(), incarnation: v.string(), token: v.number() });
+const epochRecord = v.object({ token: v.number() });
+const moveRecord = v.object({
+  job: v.string(),
+  task: v.number(),
+  from: v.string(),
+  to: v.string(),
+  startedAt: v.number(),
+});
+const machineType = v.object({
+  name: v.string(),
+  size: amount,
+  cacheGb: v.number(),
+  fetchGbPerS: v.number(),
+  price: v.number(),
+  spotPrice: v.number(),
+  bootS: v.number(),
+  zones: v.array(v.string()),
+});
+const modesRecord = v.record(v.string(), v.picklist(["cordon", "drain"]));
+
+export type JobRecord = { state: "active" | "cancelled"; acceptedAt: number; spec: JobSpec };
+export type FinalRecord = v.InferOutput<typeof finalRecord>;
+export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
+export type MachineRecord = v.InferOutput<typeof machineRecord>;
+export type LeaderRecord = v.InferOutput<typeof leaderRecord>;
+export type MoveRecord = v.InferOutput<typeof moveRecord>;
+
+function reader<T>(schema: v.GenericSchema<unknown, T>): (value: unknown) => T | null {
+  return (value) => {
+    const result = v.safeParse(schema, value);
+    return result.success ? result.output : null;
+  };
+}
+
+export const readJob: (value: unknown) => JobRecord | null = reader(jobRecord);
+export const readFinal = reader(finalRecord);
+export const readChunk = reader(chunkRecord);
+export const readMachine = reader(machineRecord);
+export const readLeader = reader(leaderRecord);
+export const readEpoch = reader(epochRecord);
+export const readMove = reader(moveRecord);
+export const readModes = reader(modesRecord);
+export const readTypes: (value: unknown) => MachineType[] | null = reader(v.array(machineType));
+
+/** Turns task numbers, ascending, into ranges [first, last]. */
+export function toRanges(tasks: Iterable<number>): [number, number][] {
+  const ranges: [number, number][] = [];
+  for (const task of tasks) {
+    const last = ranges[ranges.length - 1];
+    if (last && last[1] === task - 1) last[1] = task;
+    else ranges.push([task, task]);
+  }
+  return ranges;
+}
--- /dev/null
+++ b/src/core/reign.ts
@@ -0,0 +1,482 @@
+import type { Budget, Context } from "./context.js";
+import { Fleet } from "./fleet.js";
+import { Hirer } from "./hirer.js";
+import type { Leadership, Reigning } from "./leadership.js";
+import { Mover } from "./mover.js";
+import { Recorder } from "./recorder.js";
+import { KEYS, readChunk, readFinal, readJob, readMachine } from "./records.js";
+import { Scheduler } from "./scheduler.js";
+import { type Job, type Placement, Tables } from "./tables.js";
+import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
+import type { ConfigView } from "./view.js";
+
+const LIST_MS = 3000;
+const RETRY_MS = 300;
+const FOLLOW_MS = 10_000;
+const FOLLOW_PAUSE_MS = 200;
+const ROUND_MS = 50;
+const IDLE_ROUND_MS = 1000;
+const PROGRESS_MS = 1000;
+const JOB_BACKOFF_MS = 2000;
+const JOB_BACKOFF_MAX_MS = 60_000;
+const MACHINE_FAULTS = 2;
+
+type Row = readonly [string, number, number];
+
+/** One time in office: the leader's tables and all that works on them. It is dropped whole when it ends. */
+export class Reign {
+  readonly reigning: Reigning;
+  readonly tables: Tables;
+  readonly recorder: Recorder;
+  readonly fleet: Fleet;
+  readonly scheduler: Scheduler;
+  readonly hirer: Hirer;
+  readonly mover: Mover;
+  over = false;
+  readonly #ctx: Context;
+  readonly #view: ConfigView;
+  readonly #leadership: Leadership;
+  #revision = 0;
+  #following = false;
+  #followAt = 0;
+  #dirty = true;
+  #roundAt = 0;
+  #progressAt = 0;
+  #told = new Map<string, string>();
+  #writingTypes = false;
+
+  constructor(ctx: Context, view: ConfigView, leadership: Leadership, reigning: Reigning) {
+    this.#ctx = ctx;
+    this.#view = view;
+    this.#leadership = leadership;
+    this.reigning = reigning;
+    this.tables = new Tables(ctx.directory);
+    this.tables.setTypes(view.types);
+    this.recorder = new Recorder(ctx, reigning, this.tables, {
+      recorded: (placements) => this.#recorded(placements),
+      jobChanged: (job) => this.#reread(job),
+      finished: (job) => this.#finished(job),
+      deposed: (why) => leadership.stepDown(why),
+    });
+    this.fleet = new Fleet(ctx, leadership, reigning, this.tables, this.recorder, {
+      gone: (placement, cause) => this.#gone(placement, cause),
+      started: () => {},
+      changed: () => {
+        this.#dirty = true;
+      },
+    });
+    this.scheduler = new Scheduler(ctx, reigning, this.tables, this.fleet, this.recorder);
+    this.hirer = new Hirer(ctx, reigning, this.tables, this.fleet, this.recorder, this.scheduler, (types) =>
+      this.#typesRead(types),
+    );
+    this.mover = new Mover(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
+    this.#load();
+  }
+
+  end(): void {
+    this.over = true;
+    this.recorder.over = true;
+  }
+
+  /* ---- reading what earlier leaders left ---- */
+
+  #load(): void {
+    this.#readAll("m/", (machines) => {
+      this.#readAll("p/", (chunks) => {
+        this.#readAll("j/", (jobs, revision) => {
+          this.#revision = revision;
+          this.#rebuild(machines, chunks, jobs);
+        });
+      });
+    });
+  }
+
+  /** Reads all keys under a prefix; the revision is that of the first page, so that following misses nothing. */
+  #readAll(prefix: string, then: (items: StateItem[], revision: number) => void): void {
+    const items: StateItem[] = [];
+    let revision: number | null = null;
+    const next = (after: string | null) => {
+      this.#ctx.state({ t: "list", prefix, after }, LIST_MS, (answer) => {
+        if (this.over) return;
+        if (answer.t !== "page") {
+          this.#later(RETRY_MS, () => next(after));
+          return;
+        }
+        revision ??= answer.revision;
+        items.push(...answer.items);
+        const last = answer.items.at(-1);
+        if (answer.more && last) next(last.key);
+        else then(items, revision);
+      });
+    };
+    next(null);
+  }
+
+  readonly #timers: { at: number; run: () => void }[] = [];
+
+  #later(ms: number, run: () => void): void {
+    this.#timers.push({ at: this.#ctx.now + ms, run });
+  }
+
+  #rebuild(machines: readonly StateItem[], chunks: readonly StateItem[], jobs: readonly StateItem[]): void {
+    const { now } = this.#ctx;
+    for (const item of machines) {
+      const record = readMachine(item.value);
+      if (!record) continue;
+      const machine = this.tables.machine(item.key.slice("m/".length), record, now);
+      machine.recorded = true;
+      if (machine.phase === "booting") machine.phase = "up";
+    }
+    for (const item of jobs) this.learnJob(item);
+    let held = 0;
+    for (const item of chunks) {
+      const [, uid = "", chunk = ""] = item.key.split("/");
+      const job = this.tables.jobByUid(uid);
+      const record = readChunk(item.value);
+      if (!job || !record) {
+        // The job's final state was written while none of its tasks was left.
+        this.recorder.discard(item.key);
+        continue;
+      }
+      job.chunkVersions.set(Number(chunk), item.version);
+      for (const [first, last] of record.done)
+        for (let task = first; task <= last; task++) job.markDone(task);
+      for (const [task, name, session, attempt] of record.held) {
+        if (job.isDone(task) && job.spec.shape !== "gang") continue;
+        const at = { address: "", type: "", zone: "", spot: false };
+        const machine = this.tables.machine(name, at, now);
+        if (machine.phase === "booting") machine.phase = "up";
+        this.tables.place({
+          job,
+          task,
+          machine,
+          session,
+          attempt,
+          durable: true,
+          seen: null,
+          sentToken: 0,
+          sentAt: Number.NEGATIVE_INFINITY,
+          runningSince: null,
+          stop: null,
+        });
+        held++;
+      }
+    }
+    this.applyModes();
+    this.fleet.loaded = true;
+    // Reports that came in while the records were being read are as good as new ones.
+    for (const machine of this.tables.machines.values()) {
+      if (machine.report) this.fleet.reconcile(machine);
+      else if (machine.phase === "up") {
+        for (const placement of machine.placements)
+          machine.session = Math.max(machine.session, placement.session);
+        this.fleet.fence(machine);
+      }
+    }
+    for (const job of this.tables.jobs.values()) {
+      if (job.state === "cancelled") this.#stopAll(job);
+      this.#finishIfOver(job);
+    }
+    this.mover.inherit(this.#view.move);
+    this.#dirty = true;
+    this.#ctx.log("info", "leader ready", {
+      token: this.reigning.token,
+      jobs: this.tables.jobs.size,
+      machines: this.tables.machines.size,
+      placements: held,
+      after_ms: Math.round(now - this.reigning.since),
+    });
+  }
+
+  /* ---- jobs ---- */
+
+  /** Takes in a job's key, from the first read, from following, or straight from the node that wrote it. */
+  learnJob(item: StateItem): void {
+    const record = readJob(item.value);
+    const uid = item.key.slice("j/".length);
+    if (!record || record.spec.uid !== uid) return;
+    const known = this.tables.jobByUid(uid);
+    if (known) {
+      if (item.version <= known.version) return;
+      known.version = item.version;
+      if (record.state === "cancelled") this.#cancelled(known);
+      return;
+    }
+    if (this.#finals.has(uid)) return;
+    const job = this.tables.addJob(record.spec, record.acceptedAt, item.version);
+    if (record.state === "cancelled") job.state = "cancelled";
+    if (this.fleet.loaded) this.#finishIfOver(job);
+    this.#dirty = true;
+  }
+
+  /** Jobs finished in this reign, lately: news of them may still be on its way. */
+  readonly #finals = new Set<string>();
+
+  #cancelled(job: Job): void {
+    if (job.state !== "active") return;
+    job.state = "cancelled";
+    job.finishing = false;
+    this.#stopAll(job);
+    this.#finishIfOver(job);
+    this.#dirty = true;
+  }
+
+  #stopAll(job: Job): void {
+    for (const placement of [...job.held.values()]) this.fleet.stop(placement, 0, "cancelled");
+  }
+
+  /** The final state is written once nothing of the job is left anywhere. */
+  #finishIfOver(job: Job): void {
+    if (!this.fleet.loaded || job.finishing || job.held.size > 0) return;
+    if (job.state === "cancelled" || (job.state === "active" && job.complete)) {
+      job.finishing = true;
+      this.recorder.finish(job);
+    }
+  }
+
+  #finished(job: Job): void {
+    if (job.state === "active") job.state = "done";
+    this.#finals.add(job.uid);
+    if (this.#finals.size > 5000)
+      for (const uid of [...this.#finals].slice(0, 1000)) this.#finals.delete(uid);
+    this.tables.jobs.delete(job.ix);
+    this.#told.delete(job.uid);
+  }
+
+  #reread(job: Job): void {
+    this.#ctx.state({ t: "get", key: KEYS.job(job.uid) }, LIST_MS, (answer) => {
+      if (this.over || !this.tables.jobs.has(job.ix)) return;
+      if (answer.t === "item") {
+        const before = job.version;
+        this.learnJob(answer.item);
+        if (job.state === "active" && job.version !== before) {
+          for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
+          if (job.finishing) this.recorder.finish(job);
+        } else if (job.state === "active") {
+          // Nothing has changed after all: an earlier answer was late. Try again as it stands.
+          for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
+          if (job.finishing) this.recorder.finish(job);
+        }
+      } else if (answer.t === "absent") {
+        this.#ctx.state({ t: "get", key: KEYS.final(job.uid) }, LIST_MS, (final) => {
+          if (this.over || !this.tables.jobs.has(job.ix)) return;
+          if (final.t === "item") {
+            const state = readFinal(final.item.value)?.state ?? "done";
+            job.state = state;
+            this.#stopAll(job);
+            if (job.held.size === 0) this.#finished(job);
+          } else this.#later(RETRY_MS, () => this.#reread(job));
+        });
+      } else this.#later(RETRY_MS, () => this.#reread(job));
+    });
+  }
+
+  #recorded(placements: readonly Placement[]): void {
+    for (const placement of placements) {
+      if (placement.machine.placements.has(placement) && placement.seen === null)
+        this.fleet.want(placement.machine);
+    }
+  }
+
+  #gone(placement: Placement, cause: Cause | "lost"): void {
+    const { job, machine, task } = placement;
+    const { now } = this.#ctx;
+    this.#dirty = true;
+    this.recorder.touch(job, task, false);
+    switch (cause) {
+      case "done":
+        if (job.spec.shape === "gang") {
+          // If one task of a gang is done, all of them are.
+          for (let i = 0; i < job.spec.tasks; i++) {
+            if (!job.isDone(i)) {
+              job.markDone(i);
+              this.recorder.touch(job, i, false);
+            }
+          }
+        } else if (job.spec.shape === "array") job.markDone(task);
+        job.failures = 0;
+        machine.failures = 0;
+        machine.failedJobs.clear();
+        break;
+      case "error":
+        this.#failed(placement);
+        break;
+      case "no_room":
+      case "busy":
+        machine.blockedUntil = now + 2000;
+        break;
+      case "unknown":
+        job.notBefore = now + 1000;
+        break;
+      case "stopped":
+      case "peers":
+      case "incomplete":
+      case "lost":
+        break;
+    }
+    const orderly = cause === "done" || cause === "stopped";
+    if (job.spec.shape === "gang" && !orderly && !job.complete) {
+      for (const other of [...job.held.values()]) {
+        if (!other.stop) this.fleet.stop(other, 0, "its gang is broken");
+      }
+    }
+    if (!this.mover.gone(placement)) this.#finishIfOver(job);
+  }
+
+  /**
+   * Mostly the machine is faulty: one on which different jobs fail is set aside. A job that fails
+   * on machine after machine has a mistake in it and must not keep the others waiting.
+   */
+  #failed({ job, machine }: Placement): void {
+    const { now } = this.#ctx;
+    job.failures++;
+    job.failedOn.add(machine.ix);
+    machine.failures++;
+    machine.failedJobs.add(job.ix);
+    if (machine.failedJobs.size >= MACHINE_FAULTS && machine.mode === "open") {
+      machine.mode = "drain";
+      this.#ctx.log("info", "machine set aside", { machine: machine.name, failures: machine.failures });
+    }
+    if (job.failedOn.size >= 2) {
+      const wait = Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** Math.min(10, job.failures - 2));
+      job.notBefore = now + wait;
+    }
+  }
+
+  /* ---- the course of time ---- */
+
+  report(report: Report): ReportAnswer {
+    return this.fleet.answer(report);
+  }
+
+  tick(budget: Budget): void {
+    const { now } = this.#ctx;
+    for (const timer of this.#timers.splice(0)) {
+      if (timer.at <= now) timer.run();
+      else this.#timers.push(timer);
+    }
+    if (!this.fleet.loaded) return;
+    this.#follow();
+    this.fleet.tick();
+    this.#drainNoticed();
+    if (this.over) return;
+    this.hirer.tick(this.#leadership.confirmed);
+    if (this.#leadership.confirmed) this.mover.tick();
+    this.#decide(budget);
+    if (now - this.#progressAt >= PROGRESS_MS) this.#tellProgress();
+  }
+
+  /** What has become due in this batch: decisions, records, orders. */
+  settle(budget: Budget): void {
+    if (this.over || !this.fleet.loaded) return;
+    this.#decide(budget);
+    this.recorder.flush();
+    this.fleet.sendWanted();
+  }
+
+  #decide(budget: Budget): void {
+    const { now } = this.#ctx;
+    if (!this.#leadership.confirmed) return;
+    if (now - this.#roundAt < (this.#dirty ? ROUND_MS : IDLE_ROUND_MS)) return;
+    this.#roundAt = now;
+    this.#dirty = !this.scheduler.round(budget);
+  }
+
+  /** Machines about to be taken back or drained: what can save is stopped in time to do so. */
+  #drainNoticed(): void {
+    const { now } = this.#ctx;
+    for (const machine of this.tables.machines.values()) {
+      if (machine.phase !== "up" || machine.lost) continue;
+      if (machine.noticeUntil === null && machine.mode !== "drain") continue;
+      for (const placement of [...machine.placements]) {
+        const { spec } = placement.job;
+        if (placement.stop || spec.shape === "service") continue;
+        if (spec.checkpointS > 0) this.scheduler.stopOrderly(placement, "its machine is going");
+      }
+      if (machine.noticeUntil !== null || machine.mode === "drain") {
+        for (const placement of [...machine.placements]) {
+          if (placement.stop || placement.job.spec.shape !== "service") continue;
+          if (now - placement.sentAt > 30_000) this.fleet.stop(placement, 0, "its machine is going");
+        }
+      }
+    }
+  }
+
+  #follow(): void {
+    const { now } = this.#ctx;
+    if (this.#following || now < this.#followAt) return;
+    this.#following = true;
+    const call = { t: "follow", prefix: "j/", after: this.#revision, waitMs: FOLLOW_MS } as const;
+    this.#ctx.state(call, FOLLOW_MS + 2000, (answer) => {
+      if (this.over) return;
+      this.#following = false;
+      this.#followAt = this.#ctx.now + FOLLOW_PAUSE_MS;
+      if (answer.t === "events") {
+        for (const event of answer.events) if (event.t === "put") this.learnJob(event.item);
+        this.#revision = Math.max(this.#revision, answer.revision);
+      } else if (answer.t === "compacted") {
+        this.#following = true;
+        this.#readAll("j/", (items, revision) => {
+          this.#following = false;
+          this.#revision = revision;
+          for (const item of items) this.learnJob(item);
+        });
+      } else this.#followAt = this.#ctx.now + RETRY_MS;
+    });
+  }
+
+  #typesRead(types: readonly MachineType[]): void {
+    this.tables.setTypes(types);
+    this.#dirty = true;
+    // Prices move all the time; what the other nodes need is what fits where.
+    const essence = (list: readonly MachineType[]) =>
+      JSON.stringify(list.map(({ name, size, zones }) => [name, size, zones]));
+    if (this.#writingTypes || essence(types) === essence(this.#view.types)) return;
+    this.#writingTypes = true;
+    const conditions = [{ key: KEYS.leader, version: this.reigning.version }];
+    const changes = [{ put: KEYS.types, value: types }];
+    this.#ctx.state({ t: "txn", conditions, changes }, LIST_MS, (answer) => {
+      this.#writingTypes = false;
+      if (answer.t === "ok") this.#view.note({ key: KEYS.types, value: types, version: answer.revision });
+    });
+  }
+
+  /** Takes over what the operators have set machines to; those set aside for errors stay so. */
+  applyModes(): void {
+    for (const machine of this.tables.machines.values()) {
+      const mode = this.#view.modes[machine.name];
+      if (mode) machine.mode = mode;
+      else if (machine.failedJobs.size < MACHINE_FAULTS) machine.mode = "open";
+    }
+    this.#dirty = true;
+  }
+
+  /** The indices in use, for the sweep of the name tables. */
+  inUse(): { jobs: Set<number>; machines: Set<number> } {
+    const jobs = new Set(this.tables.jobs.keys());
+    for (const machine of this.tables.machines.values()) {
+      for (const entry of machine.report?.tasks ?? []) jobs.add(entry.job);
+    }
+    return { jobs, machines: new Set(this.tables.machines.keys()) };
+  }
+
+  counts(uid: string): { done: number; running: number } | null {
+    const job = this.tables.jobByUid(uid);
+    return job ? { done: job.doneCount, running: job.running() } : null;
+  }
+
+  #tellProgress(): void {
+    this.#progressAt = this.#ctx.now;
+    const rows: Row[] = [];
+    for (const job of this.tables.jobs.values()) {
+      const running = job.running();
+      const mark = `${job.doneCount}/${running}`;
+      if (this.#told.get(job.uid) === mark) continue;
+      this.#told.set(job.uid, mark);
+      rows.push([job.uid, job.doneCount, running]);
+    }
+    if (rows.length === 0) return;
+    for (const to of this.#ctx.deployment.peers)
+      this.#ctx.emit({ t: "peerSend", to, message: { t: "progress", rows } });
+  }
+}
--- /dev/null
+++ b/src/core/scheduler.ts
@@ -0,0 +1,392 @@
+import { fits, times, ZERO } from "./amount.js";
+import type { Budget, Context } from "./context.js";
+import type { Fleet } from "./fleet.js";
+import type { Reigning } from "./leadership.js";
+import type { Recorder } from "./recorder.js";
+import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
+import type { Amount } from "./types.js";
+
+const RESERVE_MS = 15_000;
+/** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
+const GPU_WASTE_S = 60;
+const FULLEST_S = 5;
+const FAILURE_S = 20;
+
+export interface Blocked {
+  readonly job: Job;
+  readonly count: number;
+  readonly guaranteed: boolean;
+}
+
+interface Reservation {
+  readonly job: Job;
+  readonly until: number;
+}
+
+/** Decides what runs where: rounds over the waiting jobs that stop when their time is spent and go on later. */
+export class Scheduler {
+  readonly #ctx: Context;
+  readonly #reign: Reigning;
+  readonly #tables: Tables;
+  readonly #fleet: Fleet;
+  readonly #recorder: Recorder;
+  readonly #reserved = new Map<Machine, Reservation>();
+  readonly #preempting = new Map<Job, number>();
+  #counter = 0;
+  /** Where an interrupted round goes on. */
+  #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
+  /** Work of the last full round that found no place. */
+  blocked: Blocked[] = [];
+  #found: Blocked[] = [];
+  roundsCut = 0;
+
+  constructor(ctx: Context, reign: Reigning, tables: Tables, fleet: Fleet, recorder: Recorder) {
+    this.#ctx = ctx;
+    this.#reign = reign;
+    this.#tables = tables;
+    this.#fleet = fleet;
+    this.#recorder = recorder;
+  }
+
+  /** False when the time was spent before the end: call again. */
+  round(budget: Budget): boolean {
+    const resume = this.#resume ?? { queue: this.#queue(), at: 0 };
+    if (this.#resume === null) this.#found = [];
+    this.#resume = null;
+    const { queue } = resume;
+    for (let i = resume.at; i < queue.length; i++) {
+      if (i > resume.at && budget.spent()) {
+        this.#resume = { queue, at: i };
+        this.roundsCut++;
+        return false;
+      }
+      const entry = queue[i];
+      if (entry) this.#serve(entry);
+    }
+    this.blocked = this.#found;
+    return true;
+  }
+
+  /** The waiting jobs: production first, then what is within its team's guarantee, then the rest. */
+  #queue(): Blocked[] {
+    const { now } = this.#ctx;
+    const jobs = [...this.#tables.jobs.values()]
+      .filter((job) => job.state === "active" && !job.complete)
+      .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
+    const guaranteed = this.guaranteedJobs(jobs);
+    const rank = (job: Job) => job.spec.priority * 2 + (guaranteed.has(job) ? 3 : 0);
+    return jobs
+      .filter((job) => job.pending > 0 && job.notBefore <= now && !job.finishing)
+      .map((job) => ({ job, count: job.pending, guaranteed: guaranteed.has(job) }))
+      .sort((a, b) => rank(b.job) - rank(a.job));
+  }
+
+  /** A job is within its team's guarantee if it fits there along with the team's earlier unfinished jobs. */
+  guaranteedJobs(inOrder: readonly Job[]): Set<Job> {
+    const used = new Map<string, { cpu: number; gpu: number }>();
+    const result = new Set<Job>();
+    for (const job of inOrder) {
+      const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
+      if (!team) continue;
+      const sum = used.get(team.name) ?? { cpu: 0, gpu: 0 };
+      const open = job.spec.tasks - job.doneCount;
+      const cpu = sum.cpu + job.spec.need.cpu * open;
+      const gpu = sum.gpu + job.spec.need.gpu * open;
+      used.set(team.name, { cpu, gpu });
+      if (cpu <= team.guarantee.cpu && (gpu <= team.guarantee.gpu || job.spec.need.gpu === 0))
+        result.add(job);
+    }
+    return result;
+  }
+
+  #serve(entry: Blocked): void {
+    const { job } = entry;
+    if (job.state !== "active" || job.pending === 0) return;
+    const allowed = Math.min(job.pending, this.withinLimit(job));
+    if (job.spec.shape === "gang") {
+      // All tasks at once, and nothing of the former attempt may be left.
+      if (job.held.size > 0 || allowed < job.spec.tasks) return;
+      if (!this.#placeGang(job)) this.#noPlace(entry, job.spec.tasks);
+      return;
+    }
+    if (allowed === 0) return;
+    const placed = this.#placeMany(job, allowed);
+    if (placed < allowed) this.#noPlace(entry, allowed - placed);
+  }
+
+  #noPlace(entry: Blocked, count: number): void {
+    const { job } = entry;
+    job.blockedSince ??= this.#ctx.now;
+    this.#found.push({ job, count, guaranteed: entry.guaranteed });
+    if (job.spec.priority >= 2 || entry.guaranteed) this.#preempt(job, count, entry.guaranteed);
+  }
+
+  /** How many more tasks of this job its team's limit allows. */
+  withinLimit(job: Job): number {
+    const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
+    if (!team) return 0;
+    const use = this.#tables.teamUse.get(team.name) ?? ZERO;
+    const { need } = job.spec;
+    let n = Number.POSITIVE_INFINITY;
+    if (need.cpu > 0) n = Math.min(n, Math.floor((team.limit.cpu - use.cpu) / need.cpu));
+    if (need.gpu > 0) n = Math.min(n, Math.floor((team.limit.gpu - use.gpu) / need.gpu));
+    return Math.max(0, n);
+  }
+
+  /** May tasks of this job be put on this machine at all, room and fellow tasks aside? */
+  allows(job: Job, machine: Machine): boolean {
+    const { types, zone, spot } = job.spec;
+    return (
+      (types === null || types.includes(machine.typeName)) &&
+      (zone === null || zone === machine.zone) &&
+      (spot || !machine.spot)
+    );
+  }
+
+  usable(machine: Machine): boolean {
+    const { now, deployment } = this.#ctx;
+    return (
+      machine.phase === "up" &&
+      !machine.lost &&
+      machine.mode === "open" &&
+      machine.type !== null &&
+      machine.session > 0 &&
+      machine.noticeUntil === null &&
+      machine.blockedUntil <= now &&
+      now - machine.heardAt < deployment.reportS * 2500 + 500
+    );
+  }
+
+  #candidates(job: Job): Machine[] {
+    const { now } = this.#ctx;
+    const found: Machine[] = [];
+    for (const machine of this.#tables.machines.values()) {
+      if (!this.allows(job, machine) || !this.usable(machine)) continue;
+      const held = this.#reserved.get(machine);
+      if (held) {
+        if (held.until <= now || held.job.pending === 0) this.#reserved.delete(machine);
+        else if (held.job !== job && held.job.spec.priority >= job.spec.priority) continue;
+      }
+      if (job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2) continue;
+      found.push(machine);
+    }
+    return found;
+  }
+
+  /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
+  score(job: Job, machine: Machine): number {
+    const { now } = this.#ctx;
+    let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S;
+    const image = machine.images.get(job.spec.image);
+    if (image) s += Math.max(0, image.readyAt - now) / 1000;
+    else s += job.spec.imageGb / Math.max(0.01, machine.type?.fetchGbPerS ?? 1);
+    if (job.spec.need.gpu === 0 && (machine.type?.size.gpu ?? 0) > 0) s += GPU_WASTE_S;
+    return s;
+  }
+
+  #ranked(job: Job): Machine[] {
+    const { need } = job.spec;
+    return this.#candidates(job)
+      .filter((machine) => fits(need, machine.room()))
+      .map((machine) => ({ machine, score: this.score(job, machine) }))
+      .sort((a, b) => a.score - b.score || a.machine.ix - b.machine.ix)
+      .map(({ machine }) => machine);
+  }
+
+  #placeMany(job: Job, count: number): number {
+    let placed = 0;
+    const { oneZone, spread, tasks } = job.spec;
+    const machines = this.#ranked(job);
+    const zoneCap = spread ? Math.ceil(tasks / 2) : Number.POSITIVE_INFINITY;
+    let onlyZone: string | null = null;
+    if (oneZone) {
+      for (const p of job.held.values()) onlyZone ??= p.machine.zone;
+      onlyZone ??= machines[0]?.zone ?? null;
+    }
+    for (const machine of machines) {
+      if (placed >= count) break;
+      if (onlyZone !== null && machine.zone !== onlyZone) continue;
+      let n = Math.min(count - placed, times(job.spec.need, machine.room()));
+      if (spread) n = Math.min(n, zoneCap - job.inZone(machine.zone));
+      for (; n > 0; n--) {
+        const task = job.nextPending();
+        if (task === null || !this.#place(job, task, machine, this.#attempt())) return placed;
+        placed++;
+      }
+    }
+    return placed;
+  }
+
+  #placeGang(job: Job): boolean {
+    const { need, tasks, oneZone, spread } = job.spec;
+    const ranked = this.#ranked(job);
+    const zones = oneZone ? [...new Set(ranked.map((machine) => machine.zone))] : [null];
+    let best: { slots: Machine[]; cost: number } | null = null;
+    for (const zone of zones) {
+      const slots: Machine[] = [];
+      const perZone = new Map<string, number>();
+      let cost = 0;
+      for (const machine of ranked) {
+        if (zone !== null && machine.zone !== zone) continue;
+        let n = Math.min(tasks - slots.length, times(need, machine.room()));
+        if (spread) n = Math.min(n, Math.ceil(tasks / 2) - (perZone.get(machine.zone) ?? 0));
+        if (n <= 0) continue;
+        perZone.set(machine.zone, (perZone.get(machine.zone) ?? 0) + n);
+        cost = Math.max(cost, this.score(job, machine));
+        for (let i = 0; i < n; i++) slots.push(machine);
+        if (slots.length >= tasks) break;
+      }
+      if (slots.length >= tasks && (best === null || cost < best.cost)) best = { slots, cost };
+    }
+    if (!best || !countersLeft(this.#counter + 1)) return false;
+    const attempt = this.#attempt();
+    job.gangBroken = false;
+    for (const machine of best.slots) {
+      const task = job.nextPending();
+      if (task !== null) this.#place(job, task, machine, attempt);
+    }
+    return true;
+  }
+
+  #attempt(): number {
+    this.#counter++;
+    return attemptOf(this.#reign.token, this.#counter);
+  }
+
+  #place(job: Job, task: number, machine: Machine, attempt: number): boolean {
+    if (!countersLeft(this.#counter)) return false;
+    this.placeAt(job, task, machine, attempt);
+    return true;
+  }
+
+  /** Puts a task on a machine in the tables and has it recorded; it is started once that is done. */
+  placeAt(job: Job, task: number, machine: Machine, attempt = this.#attempt()): Placement {
+    const placement: Placement = {
+      job,
+      task,
+      machine,
+      session: machine.session,
+      attempt,
+      durable: false,
+      seen: null,
+      sentToken: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+      runningSince: null,
+      stop: null,
+    };
+    this.#tables.place(placement);
+    job.firstPlacedAt ??= this.#ctx.now;
+    job.blockedSince = null;
+    const image = machine.images.get(job.spec.image);
+    if (image) image.usedAt = this.#ctx.now;
+    else this.#fleet.noteFetch(machine, job, this.#ctx.now);
+    this.#recorder.touch(job, task, true);
+    return placement;
+  }
+
+  /** May this placement be stopped so that the job can run? */
+  #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
+    const spec = victim.job.spec;
+    if (spec.priority < job.spec.priority) return true;
+    if (!guaranteed || spec.team === job.spec.team || spec.priority === 3) return false;
+    const team = this.#ctx.deployment.teams.find((t) => t.name === spec.team);
+    const use = this.#tables.teamUse.get(spec.team);
+    return (
+      team !== undefined &&
+      use !== undefined &&
+      (use.cpu > team.guarantee.cpu || use.gpu > team.guarantee.gpu)
+    );
+  }
+
+  #preempt(job: Job, count: number, guaranteed: boolean): void {
+    const { now } = this.#ctx;
+    if ((this.#preempting.get(job) ?? 0) > now) return;
+    const { need, tasks, oneZone, spread } = job.spec;
+    const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
+    for (const machine of this.#candidates(job)) {
+      const plan = this.#plan(job, machine, need, guaranteed);
+      if (plan) plans.push({ machine, ...plan });
+    }
+    plans.sort((a, b) => a.cost / a.slots - b.cost / b.slots);
+    const zones = oneZone ? [...new Set(plans.map((p) => p.machine.zone))] : [null];
+    for (const zone of zones) {
+      let slots = 0;
+      const inZone = new Map<string, number>();
+      const chosen: typeof plans = [];
+      for (const plan of plans) {
+        if (slots >= count) break;
+        if (zone !== null && plan.machine.zone !== zone) continue;
+        let n = Math.min(plan.slots, count - slots);
+        if (spread) {
+          const there = (inZone.get(plan.machine.zone) ?? 0) + job.inZone(plan.machine.zone);
+          n = Math.min(n, Math.ceil(tasks / 2) - there);
+        }
+        if (n <= 0) continue;
+        inZone.set(plan.machine.zone, (inZone.get(plan.machine.zone) ?? 0) + n);
+        slots += n;
+        chosen.push(plan);
+      }
+      if (slots === 0 || (job.spec.shape === "gang" && slots < tasks)) continue;
+      let graceS = 0;
+      for (const { machine, victims } of chosen) {
+        this.#reserved.set(machine, { job, until: now + RESERVE_MS });
+        for (const victim of victims) {
+          graceS = Math.max(graceS, victim.job.spec.saveS);
+          this.stopOrderly(victim, `room for ${job.uid}`);
+        }
+      }
+      this.#preempting.set(job, now + graceS * 1000 + this.#ctx.deployment.reportS * 2000);
+      return;
+    }
+  }
+
+  /** The cheapest tasks to stop on this machine so that at least one task of the job fits. */
+  #plan(
+    job: Job,
+    machine: Machine,
+    need: Amount,
+    guaranteed: boolean,
+  ): { slots: number; victims: Placement[]; cost: number } | null {
+    const room = machine.room();
+    if (fits(need, room)) return { slots: times(need, room), victims: [], cost: 0 };
+    const victims: Placement[] = [];
+    let cost = 0;
+    const list = [...machine.placements]
+      .filter((p) => p.job !== job && this.#mayStop(p, job, guaranteed))
+      .map((p) => ({ p, cost: this.#lossOf(p) }))
+      .sort((a, b) => a.p.job.spec.priority - b.p.job.spec.priority || a.cost - b.cost);
+    let { cpu, gpu, ram } = room;
+    for (const { p, cost: loss } of list) {
+      // Stopping a task that frees nothing that is short helps nobody.
+      const helps =
+        (cpu < need.cpu && p.job.spec.need.cpu > 0) ||
+        (gpu < need.gpu && p.job.spec.need.gpu > 0) ||
+        (ram < need.ram && p.job.spec.need.ram > 0);
+      if (!helps) continue;
+      victims.push(p);
+      cost += p.stop ? 0 : loss;
+      cpu += p.job.spec.need.cpu;
+      gpu += p.job.spec.need.gpu;
+      ram += p.job.spec.need.ram;
+      if (fits(need, { cpu, gpu, ram })) return { slots: times(need, { cpu, gpu, ram }), victims, cost };
+    }
+    return null;
+  }
+
+  /** The work, in CPU seconds, that stopping this task throws away. */
+  #lossOf(placement: Placement): number {
+    const { spec } = placement.job;
+    const ran = placement.runningSince === null ? 0 : (this.#ctx.now - placement.runningSince) / 1000;
+    const lost = spec.checkpointS > 0 ? spec.saveS : ran;
+    const tasks = spec.shape === "gang" ? spec.tasks : 1;
+    return ((lost + 1) * tasks * (spec.need.cpu + spec.need.gpu * 10)) / 1000;
+  }
+
+  /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
+  stopOrderly(placement: Placement, why: string): void {
+    const { job } = placement;
+    const graceS = job.spec.checkpointS > 0 ? Math.ceil(job.spec.saveS) + 1 : 0;
+    const group = job.spec.shape === "gang" ? [...job.held.values()] : [placement];
+    for (const member of group) this.#fleet.stop(member, graceS, why);
+  }
+}
--- /dev/null
+++ b/src/core/tables.ts
@@ -0,0 +1,285 @@
+import { add, ZERO } from "./amount.js";
+import type { Directory } from "./names.js";
+import type { Amount, JobSpec, MachineType, Report, TaskState } from "./types.js";
+
+/**
+ * Attempts carry the token they were made under, so that none is ever used twice and anyone can tell
+ * under which token a start may still be on its way: attempt = token * 2^20 + counter (below 2^53).
+ */
+const ATTEMPTS_PER_TOKEN = 2 ** 20;
+
+export function attemptOf(token: number, counter: number): number {
+  return token * ATTEMPTS_PER_TOKEN + counter;
+}
+export function tokenOf(attempt: number): number {
+  return Math.floor(attempt / ATTEMPTS_PER_TOKEN);
+}
+export function countersLeft(counter: number): boolean {
+  return counter < ATTEMPTS_PER_TOKEN;
+}
+
+/** A task on a machine: holds its task, quota, zone and room until it is proved gone. */
+export interface Placement {
+  readonly job: Job;
+  readonly task: number;
+  readonly machine: Machine;
+  readonly session: number;
+  readonly attempt: number;
+  /** Recorded in the state service; nothing is sent before. */
+  durable: boolean;
+  /** What the worker last said of it; null while no report has shown it. */
+  seen: TaskState | null;
+  /** The highest token a start for it was sent under by this node; 0 for those of earlier leaders. */
+  sentToken: number;
+  sentAt: number;
+  runningSince: number | null;
+  stop: { graceS: number; at: number; sentAt: number; why: string } | null;
+}
+
+export type JobState = "active" | "cancelled" | "done";
+
+const PENDING = 0;
+const HELD = 1;
+const DONE = 2;
+
+export class Job {
+  readonly ix: number;
+  readonly uid: string;
+  readonly spec: JobSpec;
+  readonly acceptedAt: number;
+  version: number;
+  state: JobState = "active";
+  /** Nothing of this job starts before this time (after failures). */
+  notBefore = 0;
+  failures = 0;
+  readonly failedOn = new Set<number>();
+  readonly held = new Map<number, Placement>();
+  doneCount = 0;
+  finishing = false;
+  /** A gang that lost a task: the rest must go before the next attempt. */
+  gangBroken = false;
+  firstPlacedAt: number | null = null;
+  blockedSince: number | null = null;
+  readonly chunkVersions = new Map<number, number>();
+  readonly #status: Uint8Array;
+  #hint = 0;
+
+  constructor(ix: number, spec: JobSpec, acceptedAt: number, version: number) {
+    this.ix = ix;
+    this.uid = spec.uid;
+    this.spec = spec;
+    this.acceptedAt = acceptedAt;
+    this.version = version;
+    this.#status = new Uint8Array(spec.tasks);
+  }
+
+  get pending(): number {
+    return this.state === "active" ? this.spec.tasks - this.doneCount - this.held.size : 0;
+  }
+
+  get complete(): boolean {
+    return this.doneCount === this.spec.tasks;
+  }
+
+  isDone(task: number): boolean {
+    return this.#status[task] === DONE;
+  }
+
+  nextPending(): number | null {
+    for (let i = this.#hint; i < this.#status.length; i++) {
+      if (this.#status[i] === PENDING) {
+        this.#hint = i;
+        return i;
+      }
+    }
+    this.#hint = this.#status.length;
+    return null;
+  }
+
+  hold(placement: Placement): void {
+    this.held.set(placement.task, placement);
+    if (this.#status[placement.task] === PENDING) this.#status[placement.task] = HELD;
+  }
+
+  letGo(task: number): void {
+    this.held.delete(task);
+    if (this.#status[task] === HELD) {
+      this.#status[task] = PENDING;
+      this.#hint = Math.min(this.#hint, task);
+    }
+  }
+
+  markDone(task: number): void {
+    if (task >= this.#status.length || this.#status[task] === DONE) return;
+    this.#status[task] = DONE;
+    this.doneCount++;
+  }
+
+  running(): number {
+    let n = 0;
+    for (const p of this.held.values()) if (p.seen === "running" || p.seen === "saving") n++;
+    return n;
+  }
+
+  /** How many of its tasks may be in each zone at this moment. */
+  inZone(zone: string): number {
+    let n = 0;
+    for (const p of this.held.values()) if (p.machine.zone === zone) n++;
+    return n;
+  }
+}
+
+export interface ImageOnMachine {
+  readyAt: number;
+  usedAt: number;
+  gb: number;
+}
+
+export type MachineMode = "open" | "cordon" | "drain";
+
+export class Machine {
+  readonly ix: number;
+  readonly name: string;
+  address: string;
+  typeName: string;
+  type: MachineType | null = null;
+  zone: string;
+  spot: boolean;
+  /** up: has reported; booting: only the cloud has spoken of it; releasing: its release was asked for. */
+  phase: "booting" | "up" | "releasing" = "booting";
+  session = 0;
+  sequence = -1;
+  /** The highest token a report of this worker carried. */
+  token = 0;
+  heardAt = Number.NEGATIVE_INFINITY;
+  answeredAt = Number.NEGATIVE_INFINITY;
+  adoptedAt: number | null = null;
+  /** Its lease has run out without a newer report: nothing of ours is on it, nothing is given to it. */
+  lost = false;
+  noticeUntil: number | null = null;
+  mode: MachineMode = "open";
+  readonly placements = new Set<Placement>();
+  used: Amount = ZERO;
+  /** Room kept for a replica that is about to move here. */
+  booked: Amount = ZERO;
+  /** Room taken by reported tasks that we have no placement for. */
+  strayUse: Amount = ZERO;
+  report: Report | null = null;
+  readonly images = new Map<string, ImageOnMachine>();
+  bootingSince: number;
+  idleSince: number | null = null;
+  lowSince: number | null = null;
+  blockedUntil = 0;
+  failures = 0;
+  readonly failedJobs = new Set<number>();
+  recordVersion = 0;
+  recorded = false;
+  doInFlight = false;
+  doRetryAt = 0;
+  wantsDo = false;
+  releaseRetryAt = 0;
+  releaseWhy: string | null = null;
+  listed = false;
+  listedAt: number;
+
+  constructor(
+    ix: number,
+    name: string,
+    at: { address: string; type: string; zone: string; spot: boolean },
+    now: number,
+  ) {
+    this.ix = ix;
+    this.name = name;
+    this.address = at.address;
+    this.typeName = at.type;
+    this.zone = at.zone;
+    this.spot = at.spot;
+    this.bootingSince = now;
+    this.listedAt = now;
+  }
+
+  room(): Amount {
+    const size = this.type?.size ?? ZERO;
+    return {
+      cpu: size.cpu - this.used.cpu - this.booked.cpu - this.strayUse.cpu,
+      gpu: size.gpu - this.used.gpu - this.booked.gpu - this.strayUse.gpu,
+      ram: size.ram - this.used.ram - this.booked.ram - this.strayUse.ram,
+    };
+  }
+
+  share(): number {
+    const cpu = this.type?.size.cpu ?? 0;
+    return cpu > 0 ? (this.used.cpu + this.booked.cpu + this.strayUse.cpu) / cpu : 1;
+  }
+}
+
+/** All that is placed, by job, machine and team: the one place where placements come and go. */
+export class Tables {
+  readonly jobs = new Map<number, Job>();
+  readonly machines = new Map<number, Machine>();
+  readonly teamUse = new Map<string, Amount>();
+  readonly types = new Map<string, MachineType>();
+  /** Machines whose release the cloud has confirmed, and when: late lists and reports may still show them. */
+  readonly released = new Map<string, number>();
+  readonly directory: Directory;
+
+  constructor(directory: Directory) {
+    this.directory = directory;
+  }
+
+  setTypes(types: readonly MachineType[]): void {
+    for (const type of types) this.types.set(type.name, type);
+    for (const machine of this.machines.values()) machine.type = this.types.get(machine.typeName) ?? null;
+  }
+
+  jobByUid(uid: string): Job | undefined {
+    const ix = this.directory.jobs.find(uid);
+    return ix === undefined ? undefined : this.jobs.get(ix);
+  }
+
+  addJob(spec: JobSpec, acceptedAt: number, version: number): Job {
+    const job = new Job(this.directory.jobs.intern(spec.uid), spec, acceptedAt, version);
+    this.jobs.set(job.ix, job);
+    return job;
+  }
+
+  machine(
+    name: string,
+    at: { address: string; type: string; zone: string; spot: boolean },
+    now: number,
+  ): Machine {
+    const ix = this.directory.machines.intern(name);
+    const known = this.machines.get(ix);
+    if (known) {
+      if (at.address !== "") known.address = at.address;
+      return known;
+    }
+    const machine = new Machine(ix, name, at, now);
+    machine.type = this.types.get(at.type) ?? null;
+    this.machines.set(ix, machine);
+    return machine;
+  }
+
+  removeMachine(machine: Machine): void {
+    this.machines.delete(machine.ix);
+  }
+
+  place(placement: Placement): void {
+    const { job, machine } = placement;
+    job.hold(placement);
+    machine.placements.add(placement);
+    machine.used = add(machine.used, job.spec.need);
+    machine.idleSince = null;
+    const team = this.teamUse.get(job.spec.team) ?? ZERO;
+    this.teamUse.set(job.spec.team, add(team, job.spec.need));
+  }
+
+  unplace(placement: Placement): void {
+    const { job, machine } = placement;
+    if (!machine.placements.delete(placement)) return;
+    if (job.held.get(placement.task) === placement) job.letGo(placement.task);
+    machine.used = add(machine.used, job.spec.need, -1);
+    const team = this.teamUse.get(job.spec.team) ?? ZERO;
+    this.teamUse.set(job.spec.team, add(team, job.spec.need, -1));
+  }
+}
--- /dev/null
+++ b/src/core/view.ts
@@ -0,0 +1,154 @@
+import { defaultOperator, readOperator } from "../config/operator.js";
+import type { Context } from "./context.js";
+import { KEYS, type LeaderRecord, readEpoch, readLeader, readModes, readTypes } from "./records.js";
+import type { MachineType, StateItem } from "./types.js";
+
+const FOLLOW_MS = 5000;
+const RETRY_MS = 500;
+
+export interface Versioned<T> {
+  readonly value: T;
+  readonly version: number;
+}
+
+/** What every node knows of the common keys (`c/`), kept up by following them. */
+export class ConfigView {
+  leader: Versioned<LeaderRecord> | null = null;
+  epoch: Versioned<number> | null = null;
+  types: readonly MachineType[] = [];
+  typesVersion = 0;
+  settingsVersion = 0;
+  modes: Record<string, "cordon" | "drain"> = {};
+  modesVersion = 0;
+  move: StateItem | null = null;
+  /** False until the first full read. */
+  loaded = false;
+  readonly #ctx: Context;
+  readonly #changed: (key: string) => void;
+  #revision = 0;
+  #reading = false;
+  #following = false;
+  #retryAt = 0;
+
+  constructor(ctx: Context, changed: (key: string) => void) {
+    this.#ctx = ctx;
+    this.#changed = changed;
+  }
+
+  tick(): void {
+    if (this.#ctx.now < this.#retryAt) return;
+    if (!this.loaded) this.#read();
+    else if (!this.#following) this.#follow();
+  }
+
+  /** Reads the keys anew, for those who know that this view is behind. */
+  refresh(): void {
+    this.#read();
+  }
+
+  #read(): void {
+    if (this.#reading) return;
+    this.#reading = true;
+    this.#ctx.state({ t: "list", prefix: KEYS.config, after: null }, 2000, (answer) => {
+      this.#reading = false;
+      if (answer.t !== "page") {
+        this.#retryAt = this.#ctx.now + RETRY_MS;
+        return;
+      }
+      if (this.loaded && answer.revision < this.#revision) return;
+      const present = new Set(answer.items.map((item) => item.key));
+      for (const key of [KEYS.leader, KEYS.move, KEYS.modes]) {
+        if (!present.has(key)) this.#drop(key);
+      }
+      for (const item of answer.items) this.note(item);
+      this.#revision = Math.max(this.#revision, answer.revision);
+      const first = !this.loaded;
+      this.loaded = true;
+      if (first) this.#changed(KEYS.config);
+      this.tick();
+    });
+  }
+
+  #follow(): void {
+    this.#following = true;
+    const after = this.#revision;
+    const call = { t: "follow", prefix: KEYS.config, after, waitMs: FOLLOW_MS } as const;
+    this.#ctx.state(call, FOLLOW_MS + 2000, (answer) => {
+      this.#following = false;
+      if (answer.t === "events") {
+        for (const event of answer.events) {
+          if (event.t === "put") this.note(event.item);
+          else this.#drop(event.key, event.version);
+        }
+        this.#revision = Math.max(this.#revision, answer.revision);
+        this.tick();
+      } else if (answer.t === "compacted") {
+        this.#read();
+      } else {
+        this.#retryAt = this.#ctx.now + RETRY_MS;
+      }
+    });
+  }
+
+  /** Takes over an item, also one that this node has just written itself. Older versions are ignored. */
+  note(item: StateItem): void {
+    switch (item.key) {
+      case KEYS.leader: {
+        const value = readLeader(item.value);
+        if (!value || (this.leader && this.leader.version >= item.version)) return;
+        this.leader = { value, version: item.version };
+        break;
+      }
+      case KEYS.epoch: {
+        const value = readEpoch(item.value);
+        if (!value || (this.epoch && this.epoch.version >= item.version)) return;
+        this.epoch = { value: value.token, version: item.version };
+        break;
+      }
+      case KEYS.settings:
+        if (this.settingsVersion >= item.version) return;
+        this.settingsVersion = item.version;
+        this.#ctx.settings = readOperator(item.value);
+        break;
+      case KEYS.types:
+        if (this.typesVersion >= item.version) return;
+        this.typesVersion = item.version;
+        this.types = readTypes(item.value) ?? this.types;
+        break;
+      case KEYS.modes:
+        if (this.modesVersion >= item.version) return;
+        this.modesVersion = item.version;
+        this.modes = readModes(item.value) ?? {};
+        break;
+      case KEYS.move:
+        if (this.move && this.move.version >= item.version) return;
+        this.move = item;
+        break;
+      default:
+        return;
+    }
+    this.#changed(item.key);
+  }
+
+  #drop(key: string, version = Number.POSITIVE_INFINITY): void {
+    switch (key) {
+      case KEYS.leader:
+        if (!this.leader || this.leader.version > version) return;
+        this.leader = null;
+        break;
+      case KEYS.move:
+        if (!this.move || this.move.version > version) return;
+        this.move = null;
+        break;
+      case KEYS.modes:
+        this.modes = {};
+        break;
+      case KEYS.settings:
+        this.#ctx.settings = defaultOperator;
+        break;
+      default:
+        return;
+    }
+    this.#changed(key);
+  }
+}
--- /dev/null
+++ b/src/protocol/cloud.ts
@@ -0,0 +1,127 @@
+import * as v from "valibot";
+import { offerOf } from "../core/amount.js";
+import type { CloudAnswer, CloudCall } from "../core/types.js";
+
+const measure = v.pipe(v.number(), v.finite(), v.minValue(0));
+const typesSchema = v.object({
+  racks: v.array(
+    v.object({
+      name: v.string(),
+      cpus: measure,
+      gpus: v.nullish(measure, 0),
+      ram_gb: measure,
+      cache_gb: v.nullish(measure, 0),
+      fetch_gb_per_s: v.nullish(measure, 0),
+      hourly: measure,
+      market_price: v.nullish(measure, null),
+      startup_s: measure,
+      yards: v.array(v.string()),
+    }),
+  ),
+});
+const hiredSchema = v.object({ hosts: v.array(v.string()) });
+const listSchema = v.object({
+  hosts: v.array(
+    v.object({
+      uid: v.string(),
+      address: v.nullish(v.string(), ""),
+      rack: v.string(),
+      yard: v.string(),
+      loaners: v.boolean(),
+      phase: v.string(),
+      age_s: v.nullish(v.number(), 0),
+    }),
+  ),
+  more: v.nullish(v.boolean(), false),
+});
+const errorSchema = v.object({ error: v.string() });
+
+const PHASES: Record<string, "booting" | "running" | "failed"> = {
+  starting: "booting",
+  running: "running",
+  failed: "failed",
+};
+const PAGE = 500;
+
+export interface HttpCall {
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+export function encodeCloudCall(call: CloudCall): HttpCall {
+  switch (call.t) {
+    case "types":
+      return { method: "GET", path: "/machine_types" };
+    case "hire":
+      return {
+        method: "POST",
+        path: "/machines",
+        body: {
+          hire: call.request,
+          rack: call.type,
+          yard: call.zone,
+          loaners: call.spot,
+          count: call.count,
+        },
+      };
+    case "release":
+      return { method: "POST", path: "/machines/release", body: { hosts: call.machines } };
+    case "list": {
+      const since = call.after === null ? "" : `since=${encodeURIComponent(call.after)}&`;
+      return { method: "GET", path: `/machines?${since}page=${PAGE}` };
+    }
+  }
+}
+
+export function decodeCloudAnswer(call: CloudCall, status: number, body: unknown): CloudAnswer {
+  if (status === 503 && call.t === "hire") {
+    const error = v.safeParse(errorSchema, body);
+    if (error.success && error.output.error === "no capacity") return { t: "no_capacity" };
+  }
+  if (status !== 200) return { t: "refused", why: `status ${status}` };
+  switch (call.t) {
+    case "types": {
+      const result = v.safeParse(typesSchema, body);
+      if (!result.success) break;
+      return {
+        t: "types",
+        types: result.output.racks.map((rack) => ({
+          name: rack.name,
+          size: offerOf(rack.cpus, rack.gpus ?? 0, rack.ram_gb),
+          cacheGb: rack.cache_gb ?? 0,
+          fetchGbPerS: rack.fetch_gb_per_s ?? 0,
+          price: rack.hourly,
+          spotPrice: rack.market_price ?? rack.hourly,
+          bootS: rack.startup_s,
+          zones: rack.yards,
+        })),
+      };
+    }
+    case "hire": {
+      const result = v.safeParse(hiredSchema, body);
+      if (!result.success) break;
+      return { t: "hired", machines: result.output.hosts };
+    }
+    case "release":
+      return { t: "released" };
+    case "list": {
+      const result = v.safeParse(listSchema, body);
+      if (!result.success) break;
+      return {
+        t: "page",
+        more: result.output.more ?? false,
+        machines: result.output.hosts.map((host) => ({
+          name: host.uid,
+          address: host.address ?? "",
+          type: host.rack,
+          zone: host.yard,
+          spot: host.loaners,
+          phase: PHASES[host.phase] ?? "booting",
+          ageS: host.age_s ?? 0,
+        })),
+      };
+    }
+  }
+  return { t: "silent" };
+}
--- /dev/null
+++ b/src/protocol/workers.ts
@@ -0,0 +1,114 @@
+import * as v from "valibot";
+import type { Directory } from "../core/names.js";
+import type { Cause, Order, Report, ReportAnswer, ReportedTask, TaskState } from "../core/types.js";
+
+/** Workers' reports and orders. Names become indices here, wire words the terms of the domain. */
+
+const STATES: Record<string, TaskState> = {
+  pulling: "fetching",
+  waiting: "waiting",
+  running: "running",
+  saving: "saving",
+  ended: "ended",
+};
+const CAUSES: Record<string, Cause> = {
+  done: "done",
+  stopped: "stopped",
+  peers: "peers",
+  incomplete: "incomplete",
+  error: "error",
+  no_room: "no_room",
+  busy: "busy",
+  unknown: "unknown",
+};
+const ORDER_WORDS = { start: "launch", stop: "stop", forget: "clear" } as const;
+
+// Integers may reach 2^64, beyond what a double holds exactly; ours stay far below, others' are only compared.
+const whole = v.pipe(v.number(), v.minValue(0));
+const text = v.pipe(v.string(), v.nonEmpty(), v.maxLength(300));
+
+const reportSchema = v.object({
+  host: text,
+  address: v.pipe(v.string(), v.regex(/^[^\s:/]+:\d{1,5}$/)),
+  rack: text,
+  yard: text,
+  loaners: v.boolean(),
+  shift: whole,
+  tally: whole,
+  baton: whole,
+  recall_s: v.nullish(v.number(), null),
+  pieces: v.array(
+    v.object({
+      piece: text,
+      try: whole,
+      phase: v.picklist(["pulling", "waiting", "running", "saving", "ended"]),
+      cause: v.nullish(v.string(), null),
+      stored: v.nullish(v.boolean(), false),
+    }),
+  ),
+});
+
+/** Null for anything that is not a well-formed report. */
+export function decodeReport(body: unknown, directory: Directory): Report | null {
+  const result = v.safeParse(reportSchema, body);
+  if (!result.success) return null;
+  const report = result.output;
+  const tasks: ReportedTask[] = [];
+  for (const entry of report.pieces) {
+    const slash = entry.piece.lastIndexOf("/");
+    const task = Number(entry.piece.slice(slash + 1));
+    const state = STATES[entry.phase];
+    if (slash <= 0 || !Number.isInteger(task) || task < 0 || state === undefined) return null;
+    tasks.push({
+      job: directory.jobs.intern(entry.piece.slice(0, slash)),
+      task,
+      attempt: entry.try,
+      state,
+      cause: entry.cause === null ? null : (CAUSES[entry.cause] ?? "error"),
+      saved: entry.stored ?? false,
+    });
+  }
+  return {
+    machine: directory.machines.intern(report.host),
+    address: report.address,
+    type: report.rack,
+    zone: report.yard,
+    spot: report.loaners,
+    session: report.shift,
+    sequence: report.tally,
+    token: report.baton,
+    noticeS: report.recall_s,
+    tasks,
+  };
+}
+
+export function encodeOrders(orders: readonly Order[], directory: Directory): unknown[] {
+  return orders.map((order) => {
+    const piece = `${directory.jobs.name(order.job)}/${order.task}`;
+    const base = { verb: ORDER_WORDS[order.op], piece, try: order.attempt };
+    return order.op === "stop" ? { ...base, windup_s: order.graceS } : base;
+  });
+}
+
+export function encodeDo(
+  token: number,
+  session: number,
+  orders: readonly Order[],
+  directory: Directory,
+): Record<string, unknown> {
+  return { baton: token, shift: session, orders: encodeOrders(orders, directory) };
+}
+
+export function encodeReportAnswer(
+  answer: ReportAnswer,
+  directory: Directory,
+): { status: number; body: Record<string, unknown> } {
+  switch (answer.t) {
+    case "orders":
+      return { status: 200, body: { baton: answer.token, orders: encodeOrders(answer.orders, directory) } };
+    case "elsewhere":
+      return { status: 421, body: answer.node === null ? {} : { steward: answer.node } };
+    case "later":
+      return { status: 503, body: { error: "not the leader" } };
+  }
+}
--- /dev/null
+++ b/src/shell/api.ts
@@ -0,0 +1,156 @@
+import http from "node:http";
+import express, { type NextFunction, type Request, type Response } from "express";
+import type { AdminAnswer, AdminAsk, JobSpec, UserAnswer } from "../core/types.js";
+import { encodeView, isUid, parseJob } from "../protocol/jobs.js";
+
+const BODY_LIMIT = "64kb";
+
+/** What the HTTP side asks of the loop. Each request is answered exactly once, through its callback. */
+export interface Desk {
+  readonly ready: boolean;
+  /** True when this node is so far behind that it must turn requests away. */
+  readonly overloaded: boolean;
+  submit(uid: string, spec: JobSpec | string, then: (answer: UserAnswer) => void): void;
+  poll(uid: string, then: (answer: UserAnswer) => void): void;
+  cancel(uid: string, then: (answer: UserAnswer) => void): void;
+  admin(ask: AdminAsk, then: (answer: AdminAnswer) => void): void;
+  /** False if the body is no report. */
+  report(body: unknown, then: (status: number, body: unknown) => void): boolean;
+  metrics(): Promise<{ type: string; text: string }>;
+}
+
+export function createServer(desk: Desk, maxConnections: number): http.Server {
+  const app = express();
+  app.disable("x-powered-by");
+  app.disable("etag");
+  app.set("query parser", "simple");
+
+  app.get("/ready", (_req, res) => {
+    if (desk.ready) json(res, 200, { ready: true });
+    else json(res, 503, { ready: false });
+  });
+
+  const body = express.json({ limit: BODY_LIMIT, type: () => true, strict: false });
+
+  app.post("/agent/beat", body, (req, res) => {
+    if (!desk.report(req.body, (status, answer) => json(res, status, answer))) {
+      json(res, 400, { error: "not a report" });
+    }
+  });
+
+  app.post("/api/jobs", shed(desk), body, (req, res) => {
+    const { uid, spec } = parseJob(req.body);
+    if (uid === null) json(res, 400, { error: typeof spec === "string" ? spec : "uid: missing" });
+    else desk.submit(uid, spec, (answer) => reply(res, answer));
+  });
+  app.get("/api/jobs/:id", shed(desk), (req, res) => {
+    const uid = req.params.id;
+    if (typeof uid !== "string" || !isUid(uid)) json(res, 404, { error: "no such job" });
+    else desk.poll(uid, (answer) => reply(res, answer));
+  });
+  app.post("/api/jobs/:id/cancel", shed(desk), (req, res) => {
+    const uid = req.params.id;
+    if (typeof uid !== "string" || !isUid(uid)) json(res, 404, { error: "no such job" });
+    else desk.cancel(uid, (answer) => reply(res, answer));
+  });
+
+  app.get("/admin/status", (_req, res) => {
+    desk.admin({ t: "status" }, (answer) => replyAdmin(res, answer));
+  });
+  app.get("/admin/settings", (_req, res) => {
+    desk.admin({ t: "settings" }, (answer) => replyAdmin(res, answer));
+  });
+  app.patch("/admin/settings", body, (req, res) => {
+    const values: unknown = req.body;
+    if (typeof values !== "object" || values === null || Array.isArray(values)) {
+      json(res, 400, { error: "the body must be a JSON object of settings" });
+    } else {
+      desk.admin({ t: "change", values: { ...values } }, (answer) => replyAdmin(res, answer));
+    }
+  });
+  app.put("/admin/machines/:name", body, (req, res) => {
+    const name = req.params.name;
+    const mode = (req.body as { mode?: unknown } | undefined)?.mode;
+    if (typeof name !== "string" || (mode !== "open" && mode !== "cordon" && mode !== "drain")) {
+      json(res, 400, { error: "mode: must be open, cordon or drain" });
+    } else {
+      desk.admin({ t: "machine", name, mode }, (answer) => replyAdmin(res, answer));
+    }
+  });
+  app.get("/metrics", async (_req, res) => {
+    const { type, text } = await desk.metrics();
+    res.status(200).set("content-type", type).send(text);
+  });
+
+  app.use((_req, res) => json(res, 404, { error: "no such path" }));
+  app.use((error: unknown, _req: Request, res: Response, _next: NextFunction) => {
+    const status = (error as { status?: unknown }).status;
+    const code = typeof status === "number" && status >= 400 && status < 500 ? status : 500;
+    json(res, code, { error: code === 500 ? "internal error" : "malformed request" });
+  });
+
+  const server = http.createServer({ keepAliveTimeout: 75_000 }, app);
+  server.maxConnections = Math.max(16, Math.floor(maxConnections * 0.75));
+  return server;
+}
+
+/** Turned away before the body is read: what can't be taken is answered at once. */
+function shed(desk: Desk) {
+  return (_req: Request, res: Response, next: NextFunction) => {
+    if (desk.overloaded) retryLater(res, "overloaded", 2);
+    else next();
+  };
+}
+
+function json(res: Response, status: number, body: unknown): void {
+  if (res.headersSent || res.destroyed) return;
+  const text = JSON.stringify(body ?? {});
+  res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+  res.end(text);
+}
+
+function retryLater(res: Response, error: string, afterS: number): void {
+  if (res.headersSent || res.destroyed) return;
+  res.setHeader("retry-after", String(Math.ceil(afterS)));
+  json(res, 503, { error });
+}
+
+function reply(res: Response, answer: UserAnswer): void {
+  switch (answer.t) {
+    case "accepted":
+      json(res, answer.known ? 200 : 201, encodeView(answer.view));
+      break;
+    case "view":
+      json(res, 200, encodeView(answer.view));
+      break;
+    case "unknown":
+      json(res, 404, { error: "no such job" });
+      break;
+    case "never":
+      json(res, 422, { error: answer.error });
+      break;
+    case "malformed":
+      json(res, 400, { error: answer.error });
+      break;
+    case "later":
+      retryLater(res, answer.error, answer.afterS);
+      break;
+  }
+}
+
+function replyAdmin(res: Response, answer: AdminAnswer): void {
+  switch (answer.t) {
+    case "ok":
+      json(res, 200, answer.body);
+      break;
+    case "bad":
+      json(res, 400, { error: answer.error });
+      break;
+    case "missing":
+      json(res, 404, { error: answer.error });
+      break;
+    case "later":
+      retryLater(res, answer.error, 1);
+      break;
+  }
+}
--- /dev/null
+++ b/src/shell/loop.ts
@@ -0,0 +1,221 @@
+import { buffer, interval, Subject } from "rxjs";
+import type { Settings } from "../config/settings.js";
+import type { Budget } from "../core/context.js";
+import { Controller, type Identity } from "../core/controller.js";
+import type {
+  AdminAnswer,
+  AdminAsk,
+  Command,
+  Effect,
+  JobSpec,
+  PeerMessage,
+  UserAnswer,
+} from "../core/types.js";
+import { decodeReport, encodeReportAnswer } from "../protocol/workers.js";
+import type { Desk } from "./api.js";
+import type { Log } from "./log.js";
+import { renderMetrics } from "./metrics.js";
+import { CloudClient, StateClient, WorkerClient } from "./outside.js";
+import { Peers } from "./peers.js";
+
+const TICK_MS = 100;
+const MAX_WAITING = 300;
+const LAG_OVERLOAD_MS = 1500;
+const RELAY_TIMEOUT_MS = 3000;
+
+/** Owns the controller: everything that happens becomes a command in one queue, worked off in batches. */
+export class Loop implements Desk {
+  readonly #controller: Controller;
+  readonly #log: Log;
+  readonly #state: StateClient;
+  readonly #cloud: CloudClient;
+  readonly #workers: WorkerClient;
+  readonly #peers: Peers;
+  readonly #commands = new Subject<Command>();
+  readonly #flush = new Subject<void>();
+  readonly #users = new Map<number, (answer: UserAnswer) => void>();
+  readonly #admins = new Map<number, (answer: AdminAnswer) => void>();
+  readonly #reports = new Map<number, (status: number, body: unknown) => void>();
+  readonly #relays = new Map<number, ReturnType<typeof setTimeout>>();
+  #scheduled = false;
+  #nextRequest = 1;
+  #tickedAt = performance.now();
+  #lagMs = 0;
+  batches = 0;
+
+  constructor(settings: Settings, identity: Identity, log: Log) {
+    this.#log = log;
+    this.#controller = new Controller(settings.deployment, identity);
+    this.#state = new StateClient(settings.state);
+    this.#cloud = new CloudClient(settings.cloud);
+    this.#workers = new WorkerClient(this.#controller.directory, Math.floor(settings.maxConnections * 0.15));
+    this.#peers = new Peers(settings, {
+      link: (node, up) => this.#push({ t: "peerLink", node, up }),
+      message: (from, message) => this.#peerMessage(from, message),
+    });
+  }
+
+  start(failed: (error: Error) => void): void {
+    this.#commands.pipe(buffer(this.#flush)).subscribe((batch) => this.#work(batch));
+    interval(TICK_MS).subscribe(() => {
+      const now = performance.now();
+      this.#lagMs = Math.max(0, now - this.#tickedAt - TICK_MS);
+      this.#tickedAt = now;
+      this.#push({ t: "tick" });
+    });
+    this.#peers.listen(failed);
+    this.#push({ t: "tick" });
+  }
+
+  #push(command: Command): void {
+    this.#commands.next(command);
+    if (this.#scheduled) return;
+    this.#scheduled = true;
+    setImmediate(() => {
+      this.#scheduled = false;
+      this.#flush.next();
+    });
+  }
+
+  #work(batch: readonly Command[]): void {
+    const now = performance.now();
+    const end = now + this.#controller.ctx.settings.round_budget_ms;
+    const budget: Budget = { spent: () => performance.now() >= end };
+    this.batches++;
+    for (const effect of this.#controller.handle(batch, now, budget)) this.#run(effect);
+  }
+
+  #run(effect: Effect): void {
+    switch (effect.t) {
+      case "answer":
+        take(this.#users, effect.req)?.(effect.answer);
+        break;
+      case "adminAnswer":
+        take(this.#admins, effect.req)?.(effect.answer);
+        break;
+      case "reportAnswer": {
+        const { status, body } = encodeReportAnswer(effect.answer, this.#controller.directory);
+        take(this.#reports, effect.req)?.(status, body);
+        break;
+      }
+      case "peerReportAnswer": {
+        const { status, body } = encodeReportAnswer(effect.answer, this.#controller.directory);
+        this.#peers.send(effect.to, { t: "reportAnswer", id: effect.id, status, body });
+        break;
+      }
+      case "relay":
+        this.#relay(effect.req, effect.to, effect.raw);
+        break;
+      case "do":
+        this.#workers.send(effect, (report, executed) => {
+          this.#push({ t: "doDone", id: effect.id, report, executed });
+        });
+        break;
+      case "state":
+        this.#state.call(effect.call, effect.timeoutMs, (answer) => {
+          this.#push({ t: "state", id: effect.id, answer });
+        });
+        break;
+      case "cloud":
+        this.#cloud.call(effect.call, (answer) => this.#push({ t: "cloud", id: effect.id, answer }));
+        break;
+      case "peerSend":
+        this.#peers.send(effect.to, effect.message);
+        break;
+      case "log":
+        this.#log[effect.level](effect.data, effect.text);
+        break;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  #relay(req: number, to: string, raw: unknown): void {
+    this.#peers.send(to, { t: "report", id: req, body: raw });
+    const timer = setTimeout(
+      () => this.#relayed(req, 503, { error: "the leader does not answer" }),
+      RELAY_TIMEOUT_MS,
+    );
+    this.#relays.set(req, timer);
+  }
+
+  #relayed(req: number, status: number, body: unknown): void {
+    const timer = take(this.#relays, req);
+    if (timer === undefined) return;
+    clearTimeout(timer);
+    take(this.#reports, req)?.(status, body);
+  }
+
+  #peerMessage(from: string, message: PeerMessage): void {
+    switch (message.t) {
+      case "report": {
+        const report = decodeReport(message.body, this.#controller.directory);
+        if (report) this.#push({ t: "peerReport", from, id: message.id, report });
+        break;
+      }
+      case "reportAnswer":
+        this.#relayed(message.id, message.status, message.body);
+        break;
+      case "beat":
+      case "job":
+      case "progress":
+        this.#push({ t: "peer", from, message });
+        break;
+      default:
+        message satisfies never;
+    }
+  }
+
+  /* ---- the HTTP side ---- */
+
+  get ready(): boolean {
+    return this.#controller.ready;
+  }
+
+  get overloaded(): boolean {
+    return this.#users.size >= MAX_WAITING || this.#lagMs > LAG_OVERLOAD_MS;
+  }
+
+  submit(uid: string, spec: JobSpec | string, then: (answer: UserAnswer) => void): void {
+    this.#push({ t: "submit", req: this.#expect(this.#users, then), uid, spec });
+  }
+
+  poll(uid: string, then: (answer: UserAnswer) => void): void {
+    this.#push({ t: "poll", req: this.#expect(this.#users, then), uid });
+  }
+
+  cancel(uid: string, then: (answer: UserAnswer) => void): void {
+    this.#push({ t: "cancel", req: this.#expect(this.#users, then), uid });
+  }
+
+  admin(ask: AdminAsk, then: (answer: AdminAnswer) => void): void {
+    this.#push({ t: "admin", req: this.#expect(this.#admins, then), ask });
+  }
+
+  report(body: unknown, then: (status: number, body: unknown) => void): boolean {
+    const report = decodeReport(body, this.#controller.directory);
+    if (!report) return false;
+    this.#push({ t: "report", req: this.#expect(this.#reports, then), report, raw: body });
+    return true;
+  }
+
+  metrics(): Promise<{ type: string; text: string }> {
+    return renderMetrics(this.#controller, {
+      batches: this.batches,
+      lagMs: this.#lagMs,
+      waiting: this.#users.size,
+    });
+  }
+
+  #expect<T>(waiting: Map<number, T>, then: T): number {
+    const req = this.#nextRequest++;
+    waiting.set(req, then);
+    return req;
+  }
+}
+
+function take<T>(map: Map<number, T>, key: number): T | undefined {
+  const value = map.get(key);
+  map.delete(key);
+  return value;
+}
--- /dev/null
+++ b/src/shell/metrics.ts
@@ -0,0 +1,44 @@
+import type { Controller } from "../core/controller.js";
+
+/** The library is loaded at the first scrape: most of a start-up's processor time is loading modules. */
+export async function renderMetrics(
+  controller: Controller,
+  loop: { batches: number; lagMs: number; waiting: number },
+): Promise<{ type: string; text: string }> {
+  const { Registry, Gauge } = await import("prom-client");
+  const registry = new Registry();
+  const gauge = (name: string, help: string, value: number) => {
+    new Gauge({ name: `hillspindle_${name}`, help, registers: [registry] }).set(value);
+  };
+  gauge("ready", "1 if this node takes requests", controller.ready ? 1 : 0);
+  gauge("leading", "1 if this node leads", controller.reign ? 1 : 0);
+  gauge("batches_total", "Batches of commands worked off", loop.batches);
+  gauge("lag_ms", "How late the last tick came", loop.lagMs);
+  gauge("users_waiting", "Requests of users that await their answer", loop.waiting);
+  const { reign } = controller;
+  if (reign) {
+    const machines = [...reign.tables.machines.values()];
+    gauge("token", "The token that everything sent carries", reign.reigning.token);
+    gauge("jobs", "Jobs that are not over", reign.tables.jobs.size);
+    gauge("machines_up", "Machines that report", machines.filter((m) => m.phase === "up" && !m.lost).length);
+    gauge(
+      "machines_booting",
+      "Machines hired but not up",
+      machines.filter((m) => m.phase === "booting").length,
+    );
+    gauge(
+      "placements",
+      "Tasks on machines",
+      machines.reduce((n, m) => n + m.placements.size, 0),
+    );
+    gauge("blocked_jobs", "Jobs that found no place in the last round", reign.scheduler.blocked.length);
+    gauge(
+      "rounds_cut_total",
+      "Rounds that went over their time and were gone on with",
+      reign.scheduler.roundsCut,
+    );
+    gauge("moves_total", "Moves begun in this reign", reign.mover.moves);
+    gauge("unwritten", "Records that wait to be written", reign.recorder.backlog);
+  }
+  return { type: registry.contentType, text: await registry.metrics() };
+}
--- /dev/null
+++ b/src/shell/outside.ts
@@ -0,0 +1,63 @@
+import { type Endpoint, parseEndpoint } from "../config/settings.js";
+import type { Directory } from "../core/names.js";
+import type { CloudAnswer, CloudCall, Effect, Report, StateAnswer, StateCall } from "../core/types.js";
+import { decodeCloudAnswer, encodeCloudCall } from "../protocol/cloud.js";
+import { decodeStateAnswer, encodeStateCall } from "../protocol/state.js";
+import { decodeReport, encodeDo } from "../protocol/workers.js";
+import { HttpClient } from "./http-client.js";
+
+const CLOUD_TIMEOUT_MS = 5000;
+const WORKER_TIMEOUT_MS = 1500;
+
+/** The state service. Long-held follows have sockets of their own, so that they never delay a call. */
+export class StateClient {
+  readonly #at: Endpoint;
+  readonly #calls = new HttpClient(24, 24);
+  readonly #follows = new HttpClient(4, 4);
+
+  constructor(at: Endpoint) {
+    this.#at = at;
+  }
+
+  call(call: StateCall, timeoutMs: number, then: (answer: StateAnswer) => void): void {
+    const client = call.t === "follow" ? this.#follows : this.#calls;
+    client.call(this.#at, encodeStateCall(call), timeoutMs, (answer) => {
+      then(answer === null ? { t: "silent" } : decodeStateAnswer(call, answer.status, answer.body));
+    });
+  }
+}
+
+export class CloudClient {
+  readonly #at: Endpoint;
+  readonly #client = new HttpClient(8, 8);
+
+  constructor(at: Endpoint) {
+    this.#at = at;
+  }
+
+  call(call: CloudCall, then: (answer: CloudAnswer) => void): void {
+    this.#client.call(this.#at, encodeCloudCall(call), CLOUD_TIMEOUT_MS, (answer) => {
+      then(answer === null ? { t: "silent" } : decodeCloudAnswer(call, answer.status, answer.body));
+    });
+  }
+}
+
+export class WorkerClient {
+  readonly #client: HttpClient;
+  readonly #directory: Directory;
+
+  constructor(directory: Directory, maxSockets: number) {
+    this.#client = new HttpClient(1, maxSockets);
+    this.#directory = directory;
+  }
+
+  /** The report that the worker answered with, and whether the orders were executed. */
+  send(effect: Extract<Effect, { t: "do" }>, then: (report: Report | null, executed: boolean) => void): void {
+    const body = encodeDo(effect.token, effect.session, effect.orders, this.#directory);
+    const call = { method: "POST", path: "/do", body } as const;
+    this.#client.call(parseEndpoint(effect.address), call, WORKER_TIMEOUT_MS, (answer) => {
+      if (answer === null || (answer.status !== 200 && answer.status !== 409)) then(null, false);
+      else then(decodeReport(answer.body, this.#directory), answer.status === 200);
+    });
+  }
+}
--- /dev/null
+++ b/src/shell/peers.ts
@@ -0,0 +1,115 @@
+import net from "node:net";
+import { PackrStream, UnpackrStream } from "msgpackr";
+import * as v from "valibot";
+import type { Settings } from "../config/settings.js";
+import type { PeerMessage } from "../core/types.js";
+
+const RECONNECT_MS = 1000;
+const CONNECT_TIMEOUT_MS = 1500;
+const MAX_BACKLOG = 512 * 1024;
+
+const count = v.pipe(v.number(), v.minValue(0));
+const messageSchema = v.variant("t", [
+  v.object({
+    t: v.literal("beat"),
+    token: count,
+    leader: v.nullable(v.string()),
+    stateOk: v.boolean(),
+    workersHeard: count,
+  }),
+  v.object({
+    t: v.literal("job"),
+    item: v.object({ key: v.string(), value: v.unknown(), version: count }),
+  }),
+  v.object({ t: v.literal("progress"), rows: v.array(v.tuple([v.string(), count, count])) }),
+  v.object({ t: v.literal("report"), id: count, body: v.unknown() }),
+  v.object({ t: v.literal("reportAnswer"), id: count, status: count, body: v.unknown() }),
+]);
+const helloSchema = v.object({ t: v.literal("hello"), node: v.string() });
+
+export interface PeerEvents {
+  link(node: string, up: boolean): void;
+  message(from: string, message: PeerMessage): void;
+}
+
+interface Link {
+  socket: net.Socket;
+  stream: PackrStream;
+  up: boolean;
+}
+
+/** Links between the nodes: each node sends on the connections it opened and hears on those it accepted. */
+export class Peers {
+  readonly #settings: Settings;
+  readonly #events: PeerEvents;
+  readonly #links = new Map<string, Link>();
+  readonly #server: net.Server;
+
+  constructor(settings: Settings, events: PeerEvents) {
+    this.#settings = settings;
+    this.#events = events;
+    this.#server = net.createServer((socket) => this.#accept(socket));
+    this.#server.maxConnections = 8 * (settings.peers.length + 1);
+  }
+
+  listen(failed: (error: Error) => void): void {
+    this.#server.on("error", failed);
+    this.#server.listen(this.#settings.peerListen.port, this.#settings.peerListen.host);
+    for (const peer of this.#settings.peers) this.#connect(peer.node, peer.at.host, peer.at.port);
+  }
+
+  /** Messages to a peer that can't be reached are dropped: nothing depends on any one of them. */
+  send(to: string, message: PeerMessage): void {
+    const link = this.#links.get(to);
+    if (!link?.up) return;
+    if (link.socket.writableLength + link.stream.readableLength > MAX_BACKLOG) {
+      link.socket.destroy();
+      return;
+    }
+    link.stream.write(message);
+  }
+
+  #connect(node: string, host: string, port: number): void {
+    const socket = net.connect({ host, port, noDelay: true });
+    const stream = new PackrStream({ useRecords: false });
+    const link: Link = { socket, stream, up: false };
+    this.#links.set(node, link);
+    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    socket.on("connect", () => {
+      clearTimeout(timer);
+      link.up = true;
+      stream.pipe(socket);
+      stream.write({ t: "hello", node: this.#settings.deployment.node });
+      this.#events.link(node, true);
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      clearTimeout(timer);
+      stream.destroy();
+      if (link.up) this.#events.link(node, false);
+      link.up = false;
+      setTimeout(() => this.#connect(node, host, port), RECONNECT_MS);
+    });
+    socket.resume();
+  }
+
+  #accept(socket: net.Socket): void {
+    socket.setNoDelay(true);
+    const stream = new UnpackrStream({ useRecords: false });
+    let from: string | null = null;
+    socket.on("error", () => {});
+    stream.on("error", () => socket.destroy());
+    stream.on("data", (raw: unknown) => {
+      if (from === null) {
+        const hello = v.safeParse(helloSchema, raw);
+        const node = hello.success ? hello.output.node : null;
+        if (node === null || !this.#settings.peers.some((peer) => peer.node === node)) socket.destroy();
+        else from = node;
+        return;
+      }
+      const result = v.safeParse(messageSchema, raw);
+      if (result.success) this.#events.message(from, result.output);
+    });
+    socket.pipe(stream);
+  }
+}
--- /dev/null
+++ b/src/shell/serve.ts
@@ -0,0 +1,28 @@
+import { randomBytes } from "node:crypto";
+import { loadSettings } from "../config/settings.js";
+import { createServer } from "./api.js";
+import { openLog } from "./log.js";
+import { Loop } from "./loop.js";
+
+/** Runs a node until it is killed. */
+export function serve(configPath: string): void {
+  const settings = loadSettings(configPath);
+  const log = openLog(process.env.LOG_LEVEL, settings.deployment.node);
+  const nonce = randomBytes(8);
+  const identity = {
+    incarnation: nonce.toString("hex"),
+    seed: nonce.readInt32LE(0),
+    epochMs: Date.now() - performance.now(),
+  };
+  const failed = (error: Error) => {
+    log.error({ error: error.message }, "cannot listen");
+    process.exit(1);
+  };
+  const loop = new Loop(settings, identity, log);
+  const server = createServer(loop, settings.maxConnections);
+  server.on("error", failed);
+  server.listen(settings.listen.port, settings.listen.host, () => {
+    log.info({ listen: settings.listen, started_ms: Math.round(performance.now()) }, "started");
+  });
+  loop.start(failed);
+}
