A worker's new session has its full lease, answered or not

Found by the new property test (model workers, cloud and state service): a worker back from a hang was heard through a direct command, given tasks, and then taken for dead by the lease of its former session, so that its tasks were started elsewhere as well (ran_twice).

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -92,6 +92,7 @@
       this.#ctx.log("debug", "machine up", { machine: name, type: machine.typeName, zone: machine.zone });
       this.#events.changed();
     }
+    if (report.session > machine.session) machine.sessionSince = now;
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.token = report.token;
@@ -353,11 +354,14 @@
   /** The time from which a silent worker has killed its tasks: proof by lease. */
   #leaseOverAt(machine: Machine): number {
     const leaseMs = this.#ctx.deployment.leaseS * 1000 * DRIFT + LEASE_MARGIN_MS;
-    if (machine.adoptedAt !== null) return Math.max(machine.answeredAt, machine.adoptedAt) + leaseMs;
+    // A session has its full lease from its beginning, whether or not a report of it was ever answered:
+    // judged by the answers alone, a worker that had just come back was taken for dead.
+    const heard = Math.max(machine.answeredAt, machine.sessionSince);
+    if (machine.adoptedAt !== null) return Math.max(heard, machine.adoptedAt) + leaseMs;
     // Not adopted: an earlier leader may have answered it up to the end of its hold.
     const grantMs = this.#ctx.settings.leader_grant_ms;
     const hold = this.#reign.succeedsItself ? 0 : this.#leadership.holdMs() + grantMs;
-    return Math.max(this.#reign.since + hold * DRIFT, machine.answeredAt) + leaseMs;
+    return Math.max(this.#reign.since + hold * DRIFT, heard) + leaseMs;
   }
 
   tick(): void {
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -154,6 +154,8 @@
   heardAt = Number.NEGATIVE_INFINITY;
   answeredAt = Number.NEGATIVE_INFINITY;
   adoptedAt: number | null = null;
+  /** When the present session was first heard of. */
+  sessionSince = Number.NEGATIVE_INFINITY;
   /** Its lease has run out without a newer report: nothing of ours is on it, nothing is given to it. */
   lost = false;
   noticeUntil: number | null = null;
--- /dev/null
+++ b/test/property.test.ts
@@ -0,0 +1,88 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec, Priority, Shape } from "../src/core/types.js";
+import { type Trouble, World } from "./world.js";
+
+const TROUBLE_S = 150;
+const PLAY_S = 300;
+
+function randomJob(world: World, n: number): JobSpec {
+  const shape = (["array", "array", "service", "gang"] as const)[world.between(0, 3)] as Shape;
+  const gang = shape === "gang";
+  const service = shape === "service";
+  const saves = !service && world.chance(0.5);
+  return {
+    uid: `j-${String(n).padStart(6, "0")}`,
+    jobClass: shape,
+    team: world.chance(0.5) ? "red" : "blue",
+    shape,
+    priority: (service ? 3 : gang ? 2 : world.between(0, 1)) as Priority,
+    tasks: gang ? world.between(1, 2) : service ? world.between(1, 4) : world.between(1, 12),
+    need: gang ? { cpu: 4000, gpu: 1000, ram: 8000 } : { cpu: 1000, gpu: 0, ram: 2000 },
+    image: `img-${world.between(0, 3)}`,
+    imageGb: world.between(1, 4),
+    types: gang ? ["gpu"] : world.chance(0.2) ? ["small"] : null,
+    zone: world.chance(0.1) ? "a" : null,
+    oneZone: gang && world.chance(0.7),
+    spread: service && world.chance(0.7),
+    spot: !service && world.chance(0.6),
+    estimateS: service ? 0 : world.between(2, 20),
+    checkpointS: saves ? 5 : 0,
+    saveS: saves ? 2 : 0,
+    deadlineS: null,
+  };
+}
+
+/** Plays a world of random jobs, cancellations and troubles; quiet for the last part, so that work can finish. */
+export function play(seed: number, trouble: Trouble): World {
+  const world = new World(seed, trouble);
+  let next = 1;
+  const ids: string[] = [];
+  for (let second = 1; second <= PLAY_S; second++) {
+    world.run(second * 1000);
+    if (second < TROUBLE_S && world.chance(0.25)) {
+      const spec = randomJob(world, next++);
+      ids.push(spec.uid);
+      world.submit(spec);
+    }
+    if (world.chance(0.05)) {
+      const uid = ids[world.between(0, Math.max(0, ids.length - 1))];
+      if (uid !== undefined && second < TROUBLE_S) world.cancel(uid);
+    }
+    if (world.chance(0.1)) world.askForNothing();
+    if (second < TROUBLE_S) world.hurt();
+    // Services hold their team's share for good: they go, so that the rest can be seen to finish.
+    if (second === TROUBLE_S + 10) {
+      for (const job of world.jobs.values()) if (job.spec.shape === "service") world.cancel(job.spec.uid);
+    }
+  }
+  return world;
+}
+
+export const TROUBLES: Record<string, Trouble> = {
+  quiet: { crash: 0, cut: 0, outage: 0, hang: 0, taken: 0, error: 0 },
+  "crashing controllers": { crash: 0.08, cut: 0, outage: 0, hang: 0, taken: 0, error: 0 },
+  "cuts and outages": { crash: 0, cut: 0.08, outage: 0.02, hang: 0, taken: 0, error: 0 },
+  "failing machines": { crash: 0, cut: 0, outage: 0, hang: 0.08, taken: 0.05, error: 0.001 },
+  everything: { crash: 0.05, cut: 0.05, outage: 0.015, hang: 0.05, taken: 0.03, error: 0.0005 },
+};
+
+for (const [name, trouble] of Object.entries(TROUBLES)) {
+  test(`no rule is broken: ${name}`, () => {
+    const seeds = Number(process.env.WORLD_SEEDS ?? 3);
+    const first = Number(process.env.WORLD_FIRST ?? 1);
+    for (let seed = first; seed < first + seeds; seed++) {
+      const world = play(seed, trouble);
+      assert.deepEqual(world.violations, [], `seed ${seed}`);
+      assert.ok(world.starts > 0, `seed ${seed}: nothing ran`);
+      const finishable = [...world.jobs.values()].filter(
+        (job) => job.spec.shape !== "service" && job.acceptedAt !== null && !job.cancelAsked,
+      );
+      const finished = finishable.filter((job) => job.toldDone).length;
+      assert.ok(
+        finished >= finishable.length * 0.9,
+        `seed ${seed}: ${finished} of ${finishable.length} jobs done`,
+      );
+    }
+  });
+}
--- /dev/null
+++ b/test/world.ts
@@ -0,0 +1,1101 @@
+import { Controller } from "../src/core/controller.js";
+import { int, seeded } from "../src/core/random.js";
+import type {
+  CloudAnswer,
+  CloudCall,
+  Command,
+  Deployment,
+  Effect,
+  JobSpec,
+  MachineType,
+  Order,
+  Report,
+  ReportAnswer,
+  StateAnswer,
+  StateCall,
+  StateItem,
+  TaskState,
+  UserAnswer,
+} from "../src/core/types.js";
+
+/**
+ * A model of everything outside the core: state service, cloud, workers, users, network. It plays in
+ * virtual time from a seed, hurts the service in random ways, and checks the rules as it goes.
+ */
+
+export const TYPES: readonly MachineType[] = [
+  {
+    name: "small",
+    size: { cpu: 4000, gpu: 0, ram: 16_000 },
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.3,
+    bootS: 8,
+    zones: ["a", "b"],
+  },
+  {
+    name: "gpu",
+    size: { cpu: 8000, gpu: 2000, ram: 32_000 },
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 5,
+    spotPrice: 2,
+    bootS: 12,
+    zones: ["a", "b"],
+  },
+];
+
+export const NODES = ["n0", "n1", "n2"] as const;
+
+export function deployment(node: string): Deployment {
+  return {
+    node,
+    peers: NODES.filter((n) => n !== node),
+    zones: ["a", "b"],
+    teams: [
+      {
+        name: "red",
+        guarantee: { cpu: 16_000, gpu: 2000, ram: 0 },
+        limit: { cpu: 24_000, gpu: 4000, ram: 0 },
+      },
+      {
+        name: "blue",
+        guarantee: { cpu: 8000, gpu: 2000, ram: 0 },
+        limit: { cpu: 16_000, gpu: 4000, ram: 0 },
+      },
+    ],
+    objectives: [],
+    reportS: 2,
+    leaseS: 12,
+    gangWaitS: 40,
+    gangPeerS: 5,
+    cancelS: 40,
+    stateRps: 250,
+    stateWriteRps: 100,
+    valueBytes: 8192,
+    txnOps: 32,
+    cloudRps: 5,
+    listLagS: 3,
+  };
+}
+
+interface WorkerTask {
+  readonly uid: string;
+  readonly task: number;
+  readonly attempt: number;
+  state: TaskState;
+  cause: Report["tasks"][number]["cause"];
+  saved: boolean;
+  until: number;
+}
+
+interface Worker {
+  readonly name: string;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly hiredAt: number;
+  upAt: number;
+  alive: boolean;
+  hungUntil: number;
+  cutUntil: number;
+  session: number;
+  sequence: number;
+  token: number;
+  tasks: WorkerTask[];
+  /** When the last answered report was sent, or the session began. */
+  leaseFrom: number;
+  node: number;
+  nextReport: number;
+  inFlight: number;
+  noticeAt: number | null;
+  images: Set<string>;
+}
+
+interface Job {
+  readonly spec: JobSpec;
+  acceptedAt: number | null;
+  cancelAsked: boolean;
+  cancelledAt: number | null;
+  toldDone: boolean;
+  readonly done: Set<number>;
+  finishedAt: number | null;
+}
+
+interface Node {
+  readonly ix: number;
+  readonly name: string;
+  core: Controller | null;
+  epoch: number;
+  rate: number;
+  offset: number;
+  cutUntil: number;
+  stateCutUntil: number;
+  refusedUntil: number;
+  workersCutUntil: number;
+  /** Packets of a cut are delivered when it ends, not lost. */
+  holds: boolean;
+}
+
+export interface Violation {
+  readonly rule: string;
+  readonly text: string;
+}
+
+export interface Trouble {
+  readonly crash: number;
+  readonly cut: number;
+  readonly outage: number;
+  readonly hang: number;
+  readonly taken: number;
+  readonly error: number;
+}
+
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** A binary heap of events: the earliest first, and among equals the first made. */
+class Timeline {
+  readonly #heap: Event[] = [];
+  #order = 0;
+
+  add(at: number, run: () => void): void {
+    const heap = this.#heap;
+    heap.push({ at, order: this.#order++, run });
+    let i = heap.length - 1;
+    while (i > 0) {
+      const parent = (i - 1) >> 1;
+      if (!this.#less(i, parent)) break;
+      this.#swap(i, parent);
+      i = parent;
+    }
+  }
+
+  get nextAt(): number {
+    return this.#heap[0]?.at ?? Number.POSITIVE_INFINITY;
+  }
+
+  next(): Event | undefined {
+    const heap = this.#heap;
+    const first = heap[0];
+    const last = heap.pop();
+    if (first === undefined || last === undefined || heap.length === 0) return first;
+    heap[0] = last;
+    let i = 0;
+    for (;;) {
+      let least = i;
+      for (const child of [2 * i + 1, 2 * i + 2])
+        if (child < heap.length && this.#less(child, least)) least = child;
+      if (least === i) return first;
+      this.#swap(i, least);
+      i = least;
+    }
+  }
+
+  #less(i: number, j: number): boolean {
+    const a = this.#heap[i];
+    const b = this.#heap[j];
+    if (!a || !b) return false;
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  #swap(i: number, j: number): void {
+    const a = this.#heap[i];
+    const b = this.#heap[j];
+    if (!a || !b) return;
+    this.#heap[i] = b;
+    this.#heap[j] = a;
+  }
+}
+
+class StateService {
+  readonly items = new Map<string, StateItem>();
+  readonly grants = new Map<number, { until: number; lifeMs: number }>();
+  readonly #owned = new Map<string, number>();
+  readonly log: { key: string; item: StateItem | null; revision: number }[] = [];
+  revision = 0;
+  outageUntil = 0;
+  #nextGrant = 1;
+
+  expire(now: number): void {
+    if (now < this.outageUntil) return;
+    for (const [grant, { until }] of this.grants) if (until <= now) this.drop(grant);
+  }
+
+  endOutage(now: number): void {
+    for (const grant of this.grants.values()) grant.until = now + grant.lifeMs;
+  }
+
+  drop(grant: number): void {
+    this.grants.delete(grant);
+    for (const [key, owner] of this.#owned) if (owner === grant) this.#remove(key, ++this.revision);
+  }
+
+  #remove(key: string, revision: number): void {
+    this.items.delete(key);
+    this.#owned.delete(key);
+    this.log.push({ key, item: null, revision });
+  }
+
+  run(call: Exclude<StateCall, { t: "follow" }>, now: number): StateAnswer {
+    switch (call.t) {
+      case "get": {
+        const item = this.items.get(call.key);
+        return item ? { t: "item", item: structuredClone(item) } : { t: "absent" };
+      }
+      case "list": {
+        const keys = [...this.items.keys()].filter((k) => k.startsWith(call.prefix)).sort();
+        const from = call.after === null ? keys : keys.filter((k) => k > (call.after ?? ""));
+        const items = from.slice(0, 20).flatMap((key) => this.items.get(key) ?? []);
+        return { t: "page", items: structuredClone(items), more: from.length > 20, revision: this.revision };
+      }
+      case "grant": {
+        const grant = this.#nextGrant++;
+        this.grants.set(grant, { until: now + call.lifeMs, lifeMs: call.lifeMs });
+        return { t: "granted", grant };
+      }
+      case "renew": {
+        const grant = this.grants.get(call.grant);
+        if (!grant) return { t: "absent" };
+        grant.until = now + grant.lifeMs;
+        return { t: "ok", revision: this.revision };
+      }
+      case "drop":
+        this.drop(call.grant);
+        return { t: "ok", revision: this.revision };
+      case "txn": {
+        const failed = call.conditions.filter((c) => (this.items.get(c.key)?.version ?? 0) !== c.version);
+        if (failed.length > 0) return { t: "conflict", failed: failed.map((c) => c.key) };
+        for (const change of call.changes) {
+          if ("put" in change && change.grant !== undefined && !this.grants.has(change.grant)) {
+            return { t: "refused", why: "no such lease" };
+          }
+        }
+        const revision = ++this.revision;
+        for (const change of call.changes) {
+          if ("remove" in change) {
+            if (this.items.has(change.remove)) this.#remove(change.remove, revision);
+            continue;
+          }
+          const item = { key: change.put, value: structuredClone(change.value), version: revision };
+          this.items.set(change.put, item);
+          if (change.grant === undefined) this.#owned.delete(change.put);
+          else this.#owned.set(change.put, change.grant);
+          this.log.push({ key: change.put, item, revision });
+        }
+        return { t: "ok", revision };
+      }
+    }
+  }
+
+  since(prefix: string, after: number): StateAnswer | null {
+    const found = this.log.filter((e) => e.revision > after && e.key.startsWith(prefix));
+    if (found.length === 0) return null;
+    return {
+      t: "events",
+      revision: this.revision,
+      events: found.map((e) =>
+        e.item
+          ? { t: "put", item: structuredClone(e.item) }
+          : { t: "removed", key: e.key, version: e.revision },
+      ),
+    };
+  }
+}
+
+export class World {
+  now = 0;
+  readonly violations: Violation[] = [];
+  readonly jobs = new Map<string, Job>();
+  readonly state = new StateService();
+  readonly workers = new Map<string, Worker>();
+  readonly nodes: Node[];
+  starts = 0;
+  finished = 0;
+  readonly logs: string[] = [];
+  readonly #random;
+  readonly #timeline = new Timeline();
+  readonly #hires = new Map<string, string[]>();
+  readonly #trouble: Trouble;
+  #nextMachine = 1;
+  #nextReq = 1;
+  readonly #answers = new Map<number, (a: UserAnswer) => void>();
+  readonly #reportAnswers = new Map<number, (a: ReportAnswer) => void>();
+
+  constructor(seed: number, trouble: Trouble) {
+    this.#random = seeded(seed);
+    this.#trouble = trouble;
+    this.nodes = NODES.map((name, ix) => ({
+      ix,
+      name,
+      core: null,
+      epoch: 0,
+      rate: 1 + (int(this.#random, -50, 50) / 50) * 0.0005,
+      offset: int(this.#random, 0, 100_000),
+      cutUntil: 0,
+      stateCutUntil: 0,
+      refusedUntil: 0,
+      workersCutUntil: 0,
+      holds: false,
+    }));
+    for (const node of this.nodes) this.#boot(node);
+    for (const zone of ["a", "b"]) {
+      for (const type of TYPES) for (let i = 0; i < 2; i++) this.#rent(type, zone, false, 0);
+    }
+    this.#every(50, () => this.state.expire(this.now));
+  }
+
+  chance(p: number): boolean {
+    return int(this.#random, 0, 999_999) < p * 1_000_000;
+  }
+
+  between(a: number, b: number): number {
+    return int(this.#random, a, b);
+  }
+
+  #at(ms: number, run: () => void): void {
+    this.#timeline.add(this.now + ms, run);
+  }
+
+  #every(ms: number, run: () => void): void {
+    const again = () => {
+      run();
+      this.#at(ms, again);
+    };
+    this.#at(ms, again);
+  }
+
+  run(untilMs: number): void {
+    while (this.#timeline.nextAt <= untilMs) {
+      const event = this.#timeline.next();
+      if (!event) return;
+      this.now = event.at;
+      event.run();
+    }
+  }
+
+  fault(rule: string, text: string): void {
+    this.violations.push({ rule, text: `${this.now} ms: ${text}` });
+  }
+
+  /* ---- nodes ---- */
+
+  #boot(node: Node): void {
+    node.epoch++;
+    const { epoch } = node;
+    node.core = new Controller(deployment(node.name), {
+      incarnation: `${node.name}-${epoch}`,
+      seed: node.ix * 1000 + epoch,
+      epochMs: 1_000_000_000,
+    });
+    const tick = () => {
+      if (node.epoch !== epoch || !node.core) return;
+      this.#give(node, { t: "tick" });
+      this.#at(100, tick);
+    };
+    this.#at(this.between(200, 900), tick);
+  }
+
+  crash(ix: number, downMs: number): void {
+    const node = this.nodes[ix];
+    if (!node?.core) return;
+    node.core = null;
+    node.epoch++;
+    this.#at(downMs, () => this.#boot(node));
+  }
+
+  #nowOf(node: Node): number {
+    return this.now * node.rate + node.offset;
+  }
+
+  #give(node: Node, command: Command): void {
+    const { core } = node;
+    if (!core) return;
+    const effects = core.handle([command], this.#nowOf(node), { spent: () => this.chance(0.02) });
+    const { epoch } = node;
+    for (const effect of effects) this.#effect(node, epoch, effect);
+  }
+
+  /** Gives a command later, unless the node has ended meanwhile. */
+  #giveLater(node: Node, epoch: number, ms: number, command: () => Command): void {
+    this.#at(ms, () => {
+      if (node.epoch === epoch && node.core) this.#give(node, command());
+    });
+  }
+
+  #effect(node: Node, epoch: number, effect: Effect): void {
+    switch (effect.t) {
+      case "answer":
+        this.#answers.get(effect.req)?.(effect.answer);
+        this.#answers.delete(effect.req);
+        break;
+      case "reportAnswer":
+        this.#reportAnswers.get(effect.req)?.(this.#portable(node, effect.answer));
+        this.#reportAnswers.delete(effect.req);
+        break;
+      case "peerReportAnswer":
+      case "relay":
+      case "adminAnswer":
+        break;
+      case "log":
+        if (effect.level !== "debug")
+          this.logs.push(`${this.now} ${node.name} ${effect.text} ${JSON.stringify(effect.data)}`);
+        break;
+      case "state":
+        this.#stateCall(node, epoch, effect.id, effect.call, effect.timeoutMs);
+        break;
+      case "cloud":
+        this.#cloudCall(node, epoch, effect.id, effect.call);
+        break;
+      case "peerSend": {
+        const to = this.nodes.find((n) => n.name === effect.to);
+        if (!to || this.now < node.cutUntil || this.now < to.cutUntil) break;
+        const message = structuredClone(effect.message);
+        this.#giveLater(to, to.epoch, this.between(1, 8), () => ({ t: "peer", from: node.name, message }));
+        break;
+      }
+      case "do":
+        this.#direct(node, epoch, effect);
+        break;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  /** Orders name jobs by the sender's indices; outside they go by name. */
+  #orderNames = new WeakMap<Order, string>();
+
+  #portable(node: Node, answer: ReportAnswer): ReportAnswer {
+    if (answer.t === "orders") this.#nameOrders(node, answer.orders);
+    return answer;
+  }
+
+  #nameOrders(node: Node, orders: readonly Order[]): void {
+    for (const order of orders) this.#orderNames.set(order, node.core?.directory.jobs.name(order.job) ?? "?");
+  }
+
+  #stateCall(node: Node, epoch: number, id: number, call: StateCall, timeoutMs: number): void {
+    const answer = (ms: number, a: StateAnswer) => {
+      this.#giveLater(node, epoch, ms, () => ({ t: "state", id, answer: a }));
+    };
+    const cut = this.now < Math.max(node.cutUntil, node.stateCutUntil);
+    if (call.t === "follow") {
+      const until = this.now + call.waitMs;
+      const look = () => {
+        if (node.epoch !== epoch) return;
+        if (this.now < Math.max(node.cutUntil, node.stateCutUntil)) {
+          answer(timeoutMs, { t: "silent" });
+          return;
+        }
+        const open = this.now >= this.state.outageUntil && this.now >= node.refusedUntil;
+        const found = open ? this.state.since(call.prefix, call.after) : null;
+        if (found) answer(3, found);
+        else if (this.now >= until) answer(3, { t: "events", events: [], revision: this.state.revision });
+        else this.#at(20, look);
+      };
+      this.#at(3, look);
+      return;
+    }
+    if (cut) {
+      answer(timeoutMs, { t: "silent" });
+      if (node.holds) {
+        // The packets come through when the cut is over, long after the caller has given up.
+        const end = Math.max(node.cutUntil, node.stateCutUntil);
+        this.#at(end - this.now + this.between(1, 50), () => {
+          if (this.now >= this.state.outageUntil) this.state.run(call, this.now);
+        });
+      }
+      return;
+    }
+    if (this.now < this.state.outageUntil || this.now < node.refusedUntil) {
+      answer(4, { t: "refused", why: "outage" });
+      return;
+    }
+    const lost = this.chance(0.002);
+    this.#at(this.between(1, 4), () => {
+      if (this.now < this.state.outageUntil) {
+        answer(3, { t: "refused", why: "outage" });
+        return;
+      }
+      const result = this.state.run(call, this.now);
+      if (lost) answer(timeoutMs, { t: "silent" });
+      else answer(this.between(1, 5), result);
+    });
+  }
+
+  /* ---- cloud ---- */
+
+  #rent(type: MachineType, zone: string, spot: boolean, bootMs: number): Worker {
+    const name = `i-${String(this.#nextMachine++).padStart(6, "0")}`;
+    const worker: Worker = {
+      name,
+      type,
+      zone,
+      spot,
+      hiredAt: this.now,
+      upAt: this.now + bootMs,
+      alive: true,
+      hungUntil: 0,
+      cutUntil: 0,
+      session: 1,
+      sequence: 0,
+      token: 0,
+      tasks: [],
+      leaseFrom: this.now + bootMs,
+      node: this.between(0, 2),
+      nextReport: 0,
+      inFlight: 0,
+      noticeAt: null,
+      images: new Set(),
+    };
+    this.workers.set(name, worker);
+    this.#at(bootMs, () => this.#workerLife(worker));
+    return worker;
+  }
+
+  #cloudCall(node: Node, epoch: number, id: number, call: CloudCall): void {
+    const answer = (ms: number, a: CloudAnswer) => {
+      this.#giveLater(node, epoch, ms, () => ({ t: "cloud", id, answer: a }));
+    };
+    if (this.now < node.cutUntil) {
+      answer(5000, { t: "silent" });
+      return;
+    }
+    this.#at(60, () => answer(60, this.#cloud(call)));
+  }
+
+  #cloud(call: CloudCall): CloudAnswer {
+    switch (call.t) {
+      case "types":
+        return { t: "types", types: TYPES };
+      case "hire": {
+        const before = this.#hires.get(call.request);
+        if (before) return { t: "hired", machines: before };
+        const type = TYPES.find((x) => x.name === call.type);
+        const there = [...this.workers.values()].filter(
+          (w) => w.alive && w.type.name === call.type && w.zone === call.zone && w.spot === call.spot,
+        ).length;
+        const count = Math.min(call.count, 4 - there);
+        if (!type || count <= 0) return { t: "no_capacity" };
+        const names: string[] = [];
+        for (let i = 0; i < count; i++) {
+          const bootMs = this.chance(0.05) ? 3_600_000 : type.bootS * this.between(600, 1500);
+          names.push(this.#rent(type, call.zone, call.spot, bootMs).name);
+        }
+        this.#hires.set(call.request, names);
+        return { t: "hired", machines: names };
+      }
+      case "release":
+        for (const name of call.machines) {
+          const worker = this.workers.get(name);
+          if (worker) worker.alive = false;
+        }
+        return { t: "released" };
+      case "list": {
+        const seen = this.now - this.between(3000, 6000);
+        const machines = [...this.workers.values()]
+          .filter((w) => w.hiredAt <= seen && (w.alive || this.chance(0.3)))
+          .map((w) => ({
+            name: w.name,
+            address: `${w.name}:1`,
+            type: w.type.name,
+            zone: w.zone,
+            spot: w.spot,
+            phase: w.upAt <= seen ? ("running" as const) : ("booting" as const),
+            ageS: (seen - w.hiredAt) / 1000,
+          }));
+        return { t: "page", machines, more: false };
+      }
+    }
+  }
+
+  /* ---- workers ---- */
+
+  #stuck(worker: Worker): boolean {
+    return this.now < worker.hungUntil;
+  }
+
+  #workerLife(worker: Worker): void {
+    const step = () => {
+      if (!worker.alive) return;
+      this.#lease(worker);
+      if (!this.#stuck(worker)) {
+        this.#workerTasks(worker);
+        if (this.now >= worker.nextReport && worker.inFlight === 0) this.#sendReport(worker);
+      }
+      this.#at(100, step);
+    };
+    step();
+  }
+
+  #lease(worker: Worker): void {
+    if (this.now - worker.leaseFrom <= 12_000) return;
+    worker.tasks = [];
+    worker.session++;
+    worker.leaseFrom = this.now;
+  }
+
+  #onMachine(task: WorkerTask): boolean {
+    return task.state === "waiting" || task.state === "running" || task.state === "saving";
+  }
+
+  #holders(uid: string, task: number): Worker[] {
+    const found: Worker[] = [];
+    for (const w of this.workers.values()) {
+      if (w.alive && w.tasks.some((t) => t.uid === uid && t.task === task && this.#onMachine(t)))
+        found.push(w);
+    }
+    return found;
+  }
+
+  #begin(worker: Worker, task: WorkerTask): void {
+    const job = this.jobs.get(task.uid);
+    if (!job) return;
+    const { spec } = job;
+    this.starts++;
+    const others = this.#holders(task.uid, task.task).filter((w) => w !== worker);
+    if (others.length > 0)
+      this.fault("ran_twice", `${task.uid}/${task.task} on ${worker.name} and ${others[0]?.name}`);
+    if (job.cancelledAt !== null && this.now - job.cancelledAt > 40_000) {
+      this.fault("ran_cancelled", `${task.uid} starts long after its cancellation`);
+    }
+    if (spec.types && !spec.types.includes(worker.type.name))
+      this.fault("wrong_place", `${task.uid} on a wrong type`);
+    if (spec.zone !== null && spec.zone !== worker.zone)
+      this.fault("wrong_place", `${task.uid} in a wrong zone`);
+    if (worker.spot && !spec.spot) this.fault("wrong_place", `${task.uid} on a spot machine`);
+    worker.images.add(spec.image);
+    task.state = spec.shape === "gang" ? "waiting" : "running";
+    if (spec.shape === "service") task.until = Number.POSITIVE_INFINITY;
+    else if (spec.shape === "gang") task.until = this.now + 40_000;
+    // The result of a task that was done before is kept.
+    else task.until = this.now + (job.done.has(task.task) ? 0 : spec.estimateS * this.between(600, 1400));
+    const zones = new Map<string, Set<number>>();
+    const teamUse = { cpu: 0, gpu: 0 };
+    for (const w of this.workers.values()) {
+      if (!w.alive) continue;
+      for (const t of w.tasks) {
+        if (!this.#onMachine(t)) continue;
+        const other = this.jobs.get(t.uid)?.spec;
+        if (other?.team === spec.team) {
+          teamUse.cpu += other.need.cpu;
+          teamUse.gpu += other.need.gpu;
+        }
+        if (t.uid === task.uid) zones.set(w.zone, (zones.get(w.zone) ?? new Set()).add(t.task));
+      }
+    }
+    const team = deployment("n0").teams.find((t) => t.name === spec.team);
+    if (team && (teamUse.cpu > team.limit.cpu || teamUse.gpu > team.limit.gpu)) {
+      this.fault("quota", `${spec.team} uses ${teamUse.cpu}/${teamUse.gpu}`);
+    }
+    if (spec.oneZone && zones.size > 1) this.fault("wrong_place", `${task.uid} in two zones`);
+    if (spec.spread && (zones.get(worker.zone)?.size ?? 0) > Math.ceil(spec.tasks / 2)) {
+      this.fault("wrong_place", `${task.uid} not spread`);
+    }
+  }
+
+  #end(worker: Worker, task: WorkerTask, cause: WorkerTask["cause"], saved = false): void {
+    task.state = "ended";
+    task.cause = cause;
+    task.saved = saved;
+    worker.nextReport = Math.min(worker.nextReport, this.now + 100);
+    const job = this.jobs.get(task.uid);
+    if (!job || cause !== "done") return;
+    if (job.spec.shape === "gang") for (let i = 0; i < job.spec.tasks; i++) job.done.add(i);
+    else job.done.add(task.task);
+    if (job.done.size === job.spec.tasks) job.finishedAt ??= this.now;
+  }
+
+  #gangTasks(uid: string, attempt: number): { worker: Worker; task: WorkerTask }[] {
+    const found: { worker: Worker; task: WorkerTask }[] = [];
+    for (const worker of this.workers.values()) {
+      if (!worker.alive || this.#stuck(worker)) continue;
+      for (const task of worker.tasks)
+        if (task.uid === uid && task.attempt === attempt) found.push({ worker, task });
+    }
+    return found;
+  }
+
+  #workerTasks(worker: Worker): void {
+    for (const task of worker.tasks) {
+      const job = this.jobs.get(task.uid);
+      if (!job) continue;
+      const { spec } = job;
+      if (job.cancelledAt !== null && this.#onMachine(task) && this.now - job.cancelledAt > 40_000) {
+        this.fault("ran_cancelled", `${task.uid}/${task.task} still on ${worker.name}`);
+      }
+      switch (task.state) {
+        case "fetching":
+          if (this.now >= task.until) this.#begin(worker, task);
+          break;
+        case "waiting": {
+          const all = this.#gangTasks(task.uid, task.attempt);
+          const ready = all.filter(({ task: t }) => t.state === "waiting").length;
+          if (ready === spec.tasks) {
+            const end = this.now + spec.estimateS * this.between(600, 1400);
+            for (const { task: t } of all) {
+              t.state = "running";
+              t.until = end;
+            }
+          } else if (this.now >= task.until) this.#end(worker, task, "incomplete");
+          break;
+        }
+        case "running":
+          if (spec.shape === "gang") {
+            const alive = this.#gangTasks(task.uid, task.attempt).filter(
+              ({ task: t }) => t.state !== "ended",
+            ).length;
+            const complete = job.done.size === spec.tasks;
+            if (complete || (this.now >= task.until && alive === spec.tasks)) this.#end(worker, task, "done");
+            else if (alive < spec.tasks && this.chance(0.05)) this.#end(worker, task, "peers");
+          } else if (this.now >= task.until) this.#end(worker, task, "done");
+          else if (this.chance(this.#trouble.error)) this.#end(worker, task, "error");
+          break;
+        case "saving":
+          if (this.now >= task.until) this.#end(worker, task, "stopped", true);
+          break;
+        case "ended":
+          break;
+      }
+    }
+  }
+
+  #report(worker: Worker, node: Node): Report {
+    worker.sequence++;
+    const { core } = node;
+    if (!core) throw new Error("no node to report to");
+    return {
+      machine: core.directory.machines.intern(worker.name),
+      address: `${worker.name}:1`,
+      type: worker.type.name,
+      zone: worker.zone,
+      spot: worker.spot,
+      session: worker.session,
+      sequence: worker.sequence,
+      token: worker.token,
+      noticeS: worker.noticeAt === null ? null : Math.max(0, (worker.noticeAt - this.now) / 1000),
+      tasks: worker.tasks.map((t) => ({
+        job: core.directory.jobs.intern(t.uid),
+        task: t.task,
+        attempt: t.attempt,
+        state: t.state,
+        cause: t.cause,
+        saved: t.saved,
+      })),
+    };
+  }
+
+  #sendReport(worker: Worker): void {
+    const node = this.nodes[worker.node];
+    const sent = this.now;
+    const { session } = worker;
+    const id = this.#nextReq++;
+    worker.inFlight = id;
+    const fail = () => {
+      if (worker.inFlight !== id) return;
+      worker.inFlight = 0;
+      worker.node = (worker.node + 1) % this.nodes.length;
+      worker.nextReport = this.now + 1000;
+    };
+    if (!node?.core) {
+      this.#at(2, fail);
+      return;
+    }
+    if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil)) {
+      this.#at(4000, fail);
+      return;
+    }
+    const req = this.#nextReq++;
+    this.#reportAnswers.set(req, (answer) => {
+      this.#at(this.between(1, 6), () => {
+        if (!worker.alive || worker.inFlight !== id || this.#stuck(worker)) return;
+        if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil)) return;
+        worker.inFlight = 0;
+        if (answer.t === "elsewhere") {
+          const to = this.nodes.findIndex((n) => n.name === answer.node);
+          if (to >= 0 && to !== worker.node) {
+            worker.node = to;
+            worker.nextReport = this.now + this.between(0, 500);
+          } else {
+            worker.inFlight = id;
+            fail();
+          }
+          return;
+        }
+        if (answer.t === "later") {
+          worker.inFlight = id;
+          fail();
+          return;
+        }
+        worker.nextReport = this.now + 2000 * (this.between(75, 125) / 100);
+        this.#lease(worker);
+        if (session !== worker.session || answer.token < worker.token) return;
+        if (answer.token > worker.token) {
+          worker.token = answer.token;
+          worker.nextReport = this.now + 500;
+        }
+        worker.leaseFrom = sent;
+        for (const order of answer.orders) this.#execute(worker, order);
+      });
+    });
+    this.#at(4000, fail);
+    const { epoch } = node;
+    this.#at(this.between(1, 6), () => {
+      if (node.epoch !== epoch || !node.core) return;
+      const report = this.#report(worker, node);
+      this.#give(node, { t: "report", req, report, raw: null });
+    });
+  }
+
+  #direct(node: Node, epoch: number, effect: Extract<Effect, { t: "do" }>): void {
+    this.#nameOrders(node, effect.orders);
+    const worker = node.core
+      ? this.workers.get(node.core.directory.machines.name(effect.machine))
+      : undefined;
+    const done = (ms: number, report: (() => Report | null) | null, executed: boolean) => {
+      this.#giveLater(node, epoch, ms, () => ({
+        t: "doDone",
+        id: effect.id,
+        report: report?.() ?? null,
+        executed,
+      }));
+    };
+    if (!worker?.alive) {
+      done(1500, null, false);
+      return;
+    }
+    const run = (): { report: (() => Report | null) | null; executed: boolean } => {
+      if (!worker.alive || this.now < worker.upAt) return { report: null, executed: false };
+      this.#lease(worker);
+      const executed = effect.token >= worker.token && effect.session === worker.session;
+      if (executed) {
+        worker.token = effect.token;
+        for (const order of effect.orders) this.#execute(worker, order);
+      }
+      return { report: () => (node.core ? this.#report(worker, node) : null), executed };
+    };
+    const blocked = Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil, worker.hungUntil);
+    if (this.now < blocked) {
+      // Held packets, or a machine that hangs: executed when it ends, while token and session match.
+      if (node.holds || worker.hungUntil > this.now) this.#at(blocked - this.now + this.between(1, 100), run);
+      done(1500, null, false);
+      return;
+    }
+    // A repeat of a command that was carried out may follow much later.
+    if (this.chance(0.01)) this.#at(this.between(500, 60_000), run);
+    const lost = this.chance(0.01);
+    this.#at(this.between(1, 6), () => {
+      const { report, executed } = run();
+      if (lost || !report) done(1500, null, false);
+      else {
+        const made = node.epoch === epoch ? report() : null;
+        done(this.between(1, 6), () => made, executed);
+      }
+    });
+  }
+
+  #execute(worker: Worker, order: Order): void {
+    const uid = this.#orderNames.get(order) ?? "?";
+    const job = this.jobs.get(uid);
+    const held = worker.tasks.find(
+      (t) => t.uid === uid && t.task === order.task && t.attempt === order.attempt,
+    );
+    switch (order.op) {
+      case "start": {
+        if (held) return;
+        const task: WorkerTask = {
+          uid,
+          task: order.task,
+          attempt: order.attempt,
+          state: "fetching",
+          cause: null,
+          saved: false,
+          until: this.now,
+        };
+        worker.tasks.push(task);
+        const busy = worker.tasks.some(
+          (t) => t !== task && t.uid === uid && t.task === order.task && t.state !== "ended",
+        );
+        if (!job) this.#end(worker, task, "unknown");
+        else if (busy) this.#end(worker, task, "busy");
+        else if (!this.#hasRoom(worker, task, job.spec)) this.#end(worker, task, "no_room");
+        else if (!worker.images.has(job.spec.image)) task.until = this.now + job.spec.imageGb * 1000;
+        worker.nextReport = Math.min(worker.nextReport, this.now + 200);
+        break;
+      }
+      case "stop":
+        if (!held || held.state === "ended") return;
+        if (held.state === "saving" && order.graceS > 0) return;
+        if (held.state === "running" && job && job.spec.checkpointS > 0 && order.graceS >= job.spec.saveS) {
+          held.state = "saving";
+          held.until = this.now + job.spec.saveS * 1000;
+        } else this.#end(worker, held, "stopped");
+        break;
+      case "forget":
+        if (held?.state === "ended") worker.tasks.splice(worker.tasks.indexOf(held), 1);
+        break;
+    }
+  }
+
+  #hasRoom(worker: Worker, task: WorkerTask, spec: JobSpec): boolean {
+    let { cpu, gpu, ram } = worker.type.size;
+    for (const t of worker.tasks) {
+      const need = t === task || t.state === "ended" ? undefined : this.jobs.get(t.uid)?.spec.need;
+      if (!need) continue;
+      cpu -= need.cpu;
+      gpu -= need.gpu;
+      ram -= need.ram;
+    }
+    return spec.need.cpu <= cpu && spec.need.gpu <= gpu && spec.need.ram <= ram;
+  }
+
+  /* ---- users ---- */
+
+  #ask(make: (req: number) => Command, then: (a: UserAnswer | null) => void): void {
+    const node = this.nodes[this.between(0, this.nodes.length - 1)];
+    if (!node?.core || this.now < node.cutUntil) {
+      this.#at(500, () => then(null));
+      return;
+    }
+    const req = this.#nextReq++;
+    let over = false;
+    this.#answers.set(req, (a) => {
+      if (over) return;
+      over = true;
+      this.#at(2, () => then(a));
+    });
+    this.#at(5000, () => {
+      if (over) return;
+      over = true;
+      then(null);
+    });
+    this.#give(node, make(req));
+  }
+
+  submit(spec: JobSpec): void {
+    const job: Job = {
+      spec,
+      acceptedAt: null,
+      cancelAsked: false,
+      cancelledAt: null,
+      toldDone: false,
+      done: new Set(),
+      finishedAt: null,
+    };
+    this.jobs.set(spec.uid, job);
+    const attempt = (tries: number) => {
+      this.#ask(
+        (req) => ({ t: "submit", req, uid: spec.uid, spec }),
+        (a) => {
+          if (a?.t === "accepted") {
+            job.acceptedAt ??= this.now;
+            this.#pollOn(job);
+          } else if (a?.t === "never" || a?.t === "malformed") {
+            this.fault("forgotten", `${spec.uid} was turned away: ${a.error}`);
+          } else if (tries > 0) this.#at(1500, () => attempt(tries - 1));
+        },
+      );
+    };
+    attempt(40);
+  }
+
+  #pollOn(job: Job): void {
+    this.#at(this.between(3000, 6000), () => {
+      const { uid } = job.spec;
+      const before = { cancelled: job.cancelledAt !== null, done: job.toldDone };
+      this.#ask(
+        (req) => ({ t: "poll", req, uid }),
+        (a) => {
+          if (a?.t === "unknown") this.fault("forgotten", `${uid} got 404`);
+          if (a?.t === "view") this.#told(job, a.view.phase, before);
+          this.#pollOn(job);
+        },
+      );
+    });
+  }
+
+  #told(job: Job, phase: string, before: { cancelled: boolean; done: boolean }): void {
+    const { uid } = job.spec;
+    if (phase === "done") {
+      if (job.done.size < job.spec.tasks) this.fault("not_done", uid);
+      if (before.cancelled) this.fault("went_back", `${uid}: cancelled, then done`);
+      if (!job.toldDone) this.finished++;
+      job.toldDone = true;
+    } else if (phase === "cancelled") {
+      if (!job.cancelAsked) this.fault("went_back", `${uid}: cancelled by nobody`);
+      if (before.done) this.fault("went_back", `${uid}: done, then cancelled`);
+      job.cancelledAt ??= this.now;
+    } else if (before.done || before.cancelled) {
+      this.fault("went_back", `${uid}: over, then ${phase}`);
+    }
+  }
+
+  cancel(uid: string): void {
+    const job = this.jobs.get(uid);
+    if (!job || job.acceptedAt === null) return;
+    job.cancelAsked = true;
+    const attempt = (tries: number) => {
+      const before = { cancelled: job.cancelledAt !== null, done: job.toldDone };
+      this.#ask(
+        (req) => ({ t: "cancel", req, uid }),
+        (a) => {
+          if (a?.t === "view") this.#told(job, a.view.phase, before);
+          else if (a?.t === "unknown") this.fault("forgotten", `${uid} got 404 on its cancellation`);
+          else if (tries > 0) this.#at(1500, () => attempt(tries - 1));
+        },
+      );
+    };
+    attempt(40);
+  }
+
+  /** Asks about a job nobody has submitted. */
+  askForNothing(): void {
+    this.#ask(
+      (req) => ({ t: "poll", req, uid: "j-999999999" }),
+      (a) => {
+        if (a?.t === "view") this.fault("invented", "j-999999999");
+      },
+    );
+  }
+
+  /* ---- troubles ---- */
+
+  /** One second of bad luck. */
+  hurt(): void {
+    const t = this.#trouble;
+    const node = this.nodes[this.between(0, 2)];
+    const workers = [...this.workers.values()].filter((w) => w.alive && w.upAt <= this.now);
+    const worker = workers[this.between(0, Math.max(0, workers.length - 1))];
+    if (this.chance(t.crash) && node) this.crash(node.ix, this.chance(0.3) ? 200 : 4000);
+    if (this.chance(t.crash / 4)) for (const n of this.nodes) this.crash(n.ix, this.between(200, 4000));
+    if (this.chance(t.cut) && node) {
+      const until = this.now + this.between(2000, 30_000);
+      node.holds = this.chance(0.5);
+      const kind = this.between(0, 3);
+      if (kind === 0) node.cutUntil = until;
+      else if (kind === 1) node.stateCutUntil = until;
+      else if (kind === 2) node.workersCutUntil = until;
+      else node.refusedUntil = until;
+    }
+    if (this.chance(t.outage)) {
+      const ms = this.between(2000, 20_000);
+      this.state.outageUntil = this.now + ms;
+      this.#at(ms, () => this.state.endOutage(this.now));
+    }
+    if (worker && this.chance(t.hang)) worker.hungUntil = this.now + this.between(2000, 30_000);
+    if (worker && this.chance(t.hang)) worker.cutUntil = this.now + this.between(2000, 30_000);
+    if (worker && this.chance(t.taken)) {
+      if (this.chance(0.5)) worker.alive = false;
+      else {
+        worker.noticeAt = this.now + 10_000;
+        this.#at(10_000, () => {
+          worker.alive = false;
+        });
+      }
+    }
+  }
+}
