--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -31,12 +31,20 @@
   stateAnsweredAt = Number.NEGATIVE_INFINITY;
   stateFailingSince: number | null = null;
 
-  constructor(deployment: Deployment, directory: Directory, random: RandomGenerator) {
+  /** The wall time at `now` 0. Only ages of jobs rest on it; nothing that safety depends on does. */
+  readonly #epochMs: number;
+
+  constructor(deployment: Deployment, directory: Directory, random: RandomGenerator, epochMs: number) {
+    this.#epochMs = epochMs;
     this.deployment = deployment;
     this.directory = directory;
     this.random = random;
   }
 
+  get wallMs(): number {
+    return this.#epochMs + this.now;
+  }
+
   emit(effect: Effect): void {
     this.#effects.push(effect);
   }
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -60,7 +60,7 @@
   #sweepAt = 0;
 
   constructor(deployment: Deployment, identity: Identity) {
-    this.ctx = new Context(deployment, this.directory, seeded(identity.seed));
+    this.ctx = new Context(deployment, this.directory, seeded(identity.seed), identity.epochMs);
     this.view = new ConfigView(this.ctx, (key) => {
       this.leadership.configChanged(key);
       if (key === KEYS.modes) this.reign?.applyModes();
@@ -79,7 +79,7 @@
       },
       startsUnderWay: () => this.reign?.fleet.startsUnderWay() ?? false,
     });
-    this.intake = new Intake(this.ctx, this.view, identity.epochMs, {
+    this.intake = new Intake(this.ctx, this.view, {
       learned: (item) => this.#learned(item),
       counts: (uid) => this.reign?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -32,13 +32,10 @@
   readonly #events: IntakeEvents;
   /** Final states never change, so they may be remembered; oldest first. */
   readonly #finals = new Map<string, JobView>();
-  /** The wall time at `now` 0, for the order of acceptance only. */
-  readonly #epochMs: number;
 
-  constructor(ctx: Context, view: ConfigView, epochMs: number, events: IntakeEvents) {
+  constructor(ctx: Context, view: ConfigView, events: IntakeEvents) {
     this.#ctx = ctx;
     this.#view = view;
-    this.#epochMs = epochMs;
     this.#events = events;
   }
 
@@ -68,7 +65,7 @@
 
   #write(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const { uid } = spec;
-    const acceptedAt = Math.round(this.#epochMs + this.#ctx.now);
+    const acceptedAt = Math.round(this.#ctx.wallMs);
     const record: JobRecord = { state: "active", acceptedAt, spec };
     this.#ctx.state(
       {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -2,11 +2,13 @@
 import type { Budget, Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import type { Reigning } from "./leadership.js";
+import { inOrder } from "./order.js";
 import type { Recorder } from "./recorder.js";
 import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
 import type { Amount } from "./types.js";
 
 const RESERVE_MS = 15_000;
+const RECLAIM_MS = 5000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
 const GPU_WASTE_S = 60;
 const FULLEST_S = 5;
@@ -67,18 +69,18 @@
     return true;
   }
 
-  /** The waiting jobs: production first, then what is within its team's guarantee, then the rest. */
   #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
       .filter((job) => job.state === "active" && !job.complete)
       .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
     const guaranteed = this.guaranteedJobs(jobs);
-    const rank = (job: Job) => job.spec.priority * 2 + (guaranteed.has(job) ? 3 : 0);
-    return jobs
-      .filter((job) => job.pending > 0 && job.notBefore <= now && !job.finishing)
-      .map((job) => ({ job, count: job.pending, guaranteed: guaranteed.has(job) }))
-      .sort((a, b) => rank(b.job) - rank(a.job));
+    const waiting = jobs.filter((job) => job.pending > 0 && job.notBefore <= now && !job.finishing);
+    return inOrder(this.#ctx, waiting, guaranteed).map((job) => ({
+      job,
+      count: job.pending,
+      guaranteed: guaranteed.has(job),
+    }));
   }
 
   /** A job is within its team's guarantee if it fits there along with the team's earlier unfinished jobs. */
@@ -167,12 +169,32 @@
         if (held.until <= now || held.job.pending === 0) this.#reserved.delete(machine);
         else if (held.job !== job && held.job.spec.priority >= job.spec.priority) continue;
       }
+      if (this.#wastesGpus(job, machine)) continue;
       if (job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2) continue;
       found.push(machine);
     }
     return found;
   }
 
+  /**
+   * Work without GPUs stays off machines that have some, unless it can save when it has to make room, or fits
+   * nowhere else: there it would be in the way of GPU work, or be thrown away for it.
+   */
+  #wastesGpus(job: Job, machine: Machine): boolean {
+    if (job.spec.need.gpu > 0 || (machine.type?.size.gpu ?? 0) === 0) return false;
+    if (job.spec.checkpointS > 0) return machine.retiring;
+    return this.fitsWithoutGpus(job);
+  }
+
+  fitsWithoutGpus({ spec }: Job): boolean {
+    if (spec.need.gpu > 0) return false;
+    for (const type of this.#tables.types.values()) {
+      if (type.size.gpu > 0 || !fits(spec.need, type.size)) continue;
+      if (spec.types === null || spec.types.includes(type.name)) return true;
+    }
+    return false;
+  }
+
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
   score(job: Job, machine: Machine): number {
     const { now } = this.#ctx;
@@ -289,6 +311,9 @@
     const spec = victim.job.spec;
     if (spec.priority < job.spec.priority) return true;
     if (!guaranteed || spec.team === job.spec.team || spec.priority === 3) return false;
+    // Taking back what another team has borrowed must not throw away much work.
+    const ranMs = victim.runningSince === null ? 0 : this.#ctx.now - victim.runningSince;
+    if (spec.checkpointS === 0 && ranMs > RECLAIM_MS) return false;
     const team = this.#ctx.deployment.teams.find((t) => t.name === spec.team);
     const use = this.#tables.teamUse.get(spec.team);
     return (
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -170,6 +170,8 @@
   readonly images = new Map<string, ImageOnMachine>();
   bootingSince: number;
   idleSince: number | null = null;
+  /** One of more machines of its kind than are needed: it takes no new small work and is returned when empty. */
+  retiring = false;
   lowSince: number | null = null;
   blockedUntil = 0;
   failures = 0;
--- a/test/world.ts
+++ b/test/world.ts
@@ -494,7 +494,8 @@
         const open = this.now >= this.state.outageUntil && this.now >= node.refusedUntil;
         const found = open ? this.state.since(call.prefix, call.after) : null;
         if (found) answer(3, found);
-        else if (open && this.now >= until) answer(3, { t: "events", events: [], revision: this.state.revision });
+        else if (open && this.now >= until)
+          answer(3, { t: "events", events: [], revision: this.state.revision });
         else this.#at(20, look);
       };
       this.#at(3, look);
