--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -17,8 +17,10 @@
   hold_s: v.optional(number(0, 600), 30),
   round_budget_ms: v.optional(number(1, 1000), 20),
   max_machines: v.optional(whole(0, 10_000), 200),
-  idle_s: v.optional(number(5, 86_400), 60),
-  spare_window_s: v.optional(number(0, 3600), 90),
+  idle_s: v.optional(number(5, 86_400), 40),
+  spare_window_s: v.optional(number(1, 3600), 120),
+  spare_factor: v.optional(number(0, 10), 1.5),
+  dear_factor: v.optional(number(1, 1000), 6),
   boot_factor: v.optional(number(1.5, 100), 4),
   token_raise_s: v.optional(number(5, 3600), 30),
 });
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -4,6 +4,7 @@
 import type { Reigning } from "./leadership.js";
 import type { Recorder } from "./recorder.js";
 import type { Blocked, Scheduler } from "./scheduler.js";
+import { Stock } from "./stock.js";
 import type { Job, Machine, Tables } from "./tables.js";
 import type { ListedMachine, MachineType } from "./types.js";
 
@@ -33,6 +34,7 @@
   readonly #scheduler: Scheduler;
   readonly #refused = new Map<string, { until: number; waitMs: number }>();
   readonly #hiring = new Map<string, number>();
+  readonly #stock: Stock;
   readonly #typesRead: (types: readonly MachineType[]) => void;
   #requests = 0;
   #listing = false;
@@ -58,13 +60,14 @@
     this.#recorder = recorder;
     this.#scheduler = scheduler;
     this.#typesRead = typesRead;
+    this.#stock = new Stock(ctx, tables, scheduler);
   }
 
   tick(confirmed: boolean): void {
     const { now } = this.#ctx;
     if (!this.#listing && now - this.#listedAt >= LIST_MS) this.#list();
     if (now - this.#typesAt >= (this.#tables.types.size === 0 ? 1000 : TYPES_MS)) this.#readTypes();
-    this.#retireSurplus();
+    this.#stock.tick();
     this.#watchMachines();
     if (!confirmed) return;
     this.#release();
@@ -127,49 +130,6 @@
     this.#ctx.log("debug", "machine to be released", { machine: machine.name, why });
   }
 
-  /**
-   * Machines with GPUs are dear, and small work would keep them from ever being idle: of each type, those beyond
-   * the most that GPU work has needed lately are retired, the dear ones first.
-   */
-  #retireSurplus(): void {
-    const { now, settings } = this.#ctx;
-    const keepMs = settings.spare_window_s * 1000;
-    for (const type of this.#tables.types.values()) {
-      if (type.size.gpu === 0) continue;
-      const all = [...this.#tables.machines.values()].filter(
-        (m) => m.typeName === type.name && m.phase !== "releasing" && !m.lost,
-      );
-      const busy = (m: Machine) => m.used.gpu > 0;
-      let waiting = 0;
-      for (const { job, count } of this.#scheduler.blocked) {
-        const { need, types } = job.spec;
-        if (need.gpu === 0 || !fits(need, type.size) || (types && !types.includes(type.name))) continue;
-        waiting += Math.ceil(count / times(need, type.size));
-      }
-      const history = this.#needed.get(type.name) ?? [];
-      this.#needed.set(type.name, history);
-      history.push({ at: now, count: all.filter(busy).length + waiting });
-      while (history[0] && history[0].at < now - keepMs) history.shift();
-      const most =
-        Math.max(...history.map((h) => h.count)) + (now - this.#reign.since < keepMs ? all.length : 0);
-      const spare = all.filter((m) => !busy(m) && m.phase === "up");
-      let surplus = Math.max(0, all.length - most);
-      spare.sort((a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size);
-      for (const machine of all) machine.retiring = false;
-      for (const machine of spare) {
-        if (surplus-- <= 0) break;
-        machine.retiring = true;
-        for (const placement of [...machine.placements]) {
-          if (placement.job.spec.checkpointS > 0 && !placement.stop) {
-            this.#scheduler.stopOrderly(placement, "its machine is not needed");
-          }
-        }
-      }
-    }
-  }
-
-  readonly #needed = new Map<string, { at: number; count: number }[]>();
-
   #watchMachines(): void {
     const { now, settings, deployment } = this.#ctx;
     const up = [...this.#tables.machines.values()].filter((m) => m.phase === "up");
@@ -381,7 +341,7 @@
         for (const spot of [false, true]) {
           const offer = { type, zone: z, spot };
           if (!this.#offerSuits(job, offer)) continue;
-          if (type.size.gpu > 0 && this.#scheduler.fitsWithoutGpus(job)) continue;
+          if (this.#stock.tooDear(job, type, spot)) continue;
           if ((this.#refused.get(keyOf(offer))?.until ?? 0) > now) continue;
           const price = spot ? type.spotPrice * SPOT_RISK : type.price;
           const per = times(job.spec.need, type.size);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,4 +1,4 @@
-import { fits, times, ZERO } from "./amount.js";
+import { add, fits, times, ZERO } from "./amount.js";
 import type { Budget, Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import type { Reigning } from "./leadership.js";
@@ -176,23 +176,37 @@
     return found;
   }
 
-  /**
-   * Work without GPUs stays off machines that have some, unless it can save when it has to make room, or fits
-   * nowhere else: there it would be in the way of GPU work, or be thrown away for it.
-   */
-  #wastesGpus(job: Job, machine: Machine): boolean {
+  readonly #room = new Map<string, { need: Amount | null; spare: number }>();
+
+  /** So many machines of this type are to be left with room for GPU work. */
+  leaveRoom(type: string, need: Amount | null, spare: number): void {
+    this.#room.set(type, { need, spare });
+  }
+
+  /** Would small work here take the room of GPU work? Not where the GPUs are taken, or enough is left beside it. */
+  #inTheWay(job: Job, machine: Machine): boolean {
     if (job.spec.need.gpu > 0 || (machine.type?.size.gpu ?? 0) === 0) return false;
-    if (job.spec.checkpointS > 0) return machine.retiring;
-    return this.fitsWithoutGpus(job);
+    const need = this.#room.get(machine.typeName)?.need;
+    if (!need) return false;
+    const room = machine.room();
+    return fits(need, room) && !fits(need, add(room, job.spec.need, -1));
   }
 
-  fitsWithoutGpus({ spec }: Job): boolean {
-    if (spec.need.gpu > 0) return false;
-    for (const type of this.#tables.types.values()) {
-      if (type.size.gpu > 0 || !fits(spec.need, type.size)) continue;
-      if (spec.types === null || spec.types.includes(type.name)) return true;
+  /**
+   * Work without GPUs is put in the way of GPU work only if it can save when it has to make room, or while
+   * more machines than the spare ones are free.
+   */
+  #wastesGpus(job: Job, machine: Machine): boolean {
+    if (job.spec.need.gpu > 0) return false;
+    if (machine.retiring) return true;
+    if (!this.#inTheWay(job, machine) || job.spec.checkpointS > 0) return false;
+    const keep = this.#room.get(machine.typeName);
+    if (!keep?.need) return false;
+    let free = 0;
+    for (const other of this.#tables.machines.values()) {
+      if (other.typeName === machine.typeName && this.usable(other) && fits(keep.need, other.room())) free++;
     }
-    return false;
+    return free <= keep.spare;
   }
 
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
@@ -202,7 +216,7 @@
     const image = machine.images.get(job.spec.image);
     if (image) s += Math.max(0, image.readyAt - now) / 1000;
     else s += job.spec.imageGb / Math.max(0.01, machine.type?.fetchGbPerS ?? 1);
-    if (job.spec.need.gpu === 0 && (machine.type?.size.gpu ?? 0) > 0) s += GPU_WASTE_S;
+    if (this.#inTheWay(job, machine)) s += GPU_WASTE_S;
     return s;
   }
 
@@ -228,6 +242,8 @@
     for (const machine of machines) {
       if (placed >= count) break;
       if (onlyZone !== null && machine.zone !== onlyZone) continue;
+      // Placing on one machine may have used up what can be spared of its kind.
+      if (placed > 0 && this.#wastesGpus(job, machine)) continue;
       let n = Math.min(count - placed, times(job.spec.need, machine.room()));
       if (spread) n = Math.min(n, zoneCap - job.inZone(machine.zone));
       for (; n > 0; n--) {
--- /dev/null
+++ b/src/core/stock.ts
@@ -0,0 +1,128 @@
+import { fits, times } from "./amount.js";
+import type { Context } from "./context.js";
+import type { Scheduler } from "./scheduler.js";
+import type { Job, Machine, Tables } from "./tables.js";
+import type { Amount, MachineType } from "./types.js";
+
+interface Kind {
+  /** The largest GPU task seen that goes on this type: what small work must leave room for. */
+  need: Amount | null;
+  /** Slots asked for, and when. */
+  arrivals: { at: number; slots: number }[];
+  imageGb: number;
+}
+
+/**
+ * How many machines with GPUs to keep. They are dear, and a new one takes longer to boot and fetch its image
+ * than work can wait: so as many are kept free as is likely to be asked for meanwhile, and the rest is returned.
+ */
+export class Stock {
+  readonly #ctx: Context;
+  readonly #tables: Tables;
+  readonly #scheduler: Scheduler;
+  readonly #kinds = new Map<string, Kind>();
+  readonly #seen = new Set<Job>();
+  #tickedAt = 0;
+
+  constructor(ctx: Context, tables: Tables, scheduler: Scheduler) {
+    this.#ctx = ctx;
+    this.#tables = tables;
+    this.#scheduler = scheduler;
+  }
+
+  tick(): void {
+    const { now } = this.#ctx;
+    if (now - this.#tickedAt < 1000) return;
+    this.#tickedAt = now;
+    this.#count();
+    for (const type of this.#tables.types.values()) if (type.size.gpu > 0) this.#adjust(type);
+  }
+
+  /** Takes note of the GPU work that has come since. */
+  #count(): void {
+    const windowMs = this.#ctx.settings.spare_window_s * 1000;
+    for (const job of this.#seen) if (!this.#tables.jobs.has(job.ix)) this.#seen.delete(job);
+    for (const job of this.#tables.jobs.values()) {
+      if (job.spec.need.gpu === 0 || this.#seen.has(job)) continue;
+      this.#seen.add(job);
+      for (const type of this.#tables.types.values()) {
+        if (!suits(job, type)) continue;
+        const kind = this.#kind(type);
+        kind.need = larger(kind.need, job.spec.need);
+        kind.imageGb = Math.max(kind.imageGb * 0.9, job.spec.imageGb);
+        const slots = Math.ceil(job.spec.tasks / times(job.spec.need, type.size));
+        kind.arrivals.push({ at: this.#ctx.now, slots });
+      }
+    }
+    for (const kind of this.#kinds.values()) {
+      while (kind.arrivals[0] && kind.arrivals[0].at < this.#ctx.now - windowMs) kind.arrivals.shift();
+    }
+  }
+
+  #kind(type: MachineType): Kind {
+    let kind = this.#kinds.get(type.name);
+    if (!kind) {
+      kind = { need: null, arrivals: [], imageGb: 0 };
+      this.#kinds.set(type.name, kind);
+    }
+    return kind;
+  }
+
+  #adjust(type: MachineType): void {
+    const { settings } = this.#ctx;
+    const kind = this.#kind(type);
+    const machines = [...this.#tables.machines.values()].filter(
+      (m) => m.typeName === type.name && m.phase !== "releasing" && !m.lost,
+    );
+    const busy = (m: Machine) => m.used.gpu > 0;
+    const asked = kind.arrivals.reduce((n, a) => n + a.slots, 0);
+    const leadS = type.bootS + kind.imageGb / Math.max(0.01, type.fetchGbPerS);
+    const likely = (asked / Math.max(1, settings.spare_window_s)) * leadS;
+    const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * Math.sqrt(likely));
+    this.#scheduler.leaveRoom(type.name, kind.need, spare);
+    let waiting = 0;
+    let wanted = false;
+    for (const { job, count } of this.#scheduler.blocked) {
+      if (!suits(job, type)) continue;
+      if (job.spec.need.gpu > 0) waiting += Math.ceil(count / times(job.spec.need, type.size));
+      else wanted ||= !this.tooDear(job, type, false);
+    }
+    const free = machines.filter((m) => !busy(m) && m.phase === "up");
+    let surplus = wanted ? 0 : machines.length - machines.filter(busy).length - waiting - spare;
+    // The dear ones first, and of those the emptiest.
+    free.sort(
+      (a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size || a.ix - b.ix,
+    );
+    for (const machine of machines) machine.retiring = false;
+    for (const machine of free) {
+      if (surplus-- <= 0) break;
+      machine.retiring = true;
+      for (const placement of [...machine.placements]) {
+        if (placement.job.spec.checkpointS > 0 && !placement.stop) {
+          this.#scheduler.stopOrderly(placement, "its machine is not needed");
+        }
+      }
+    }
+  }
+
+  /** Small work is worth a machine with GPUs only up to a multiple of what it costs elsewhere. */
+  tooDear(job: Job, type: MachineType, spot: boolean): boolean {
+    if (job.spec.need.gpu > 0 || type.size.gpu === 0) return false;
+    let least = Number.POSITIVE_INFINITY;
+    for (const other of this.#tables.types.values()) {
+      if (other.size.gpu > 0 || !suits(job, other)) continue;
+      least = Math.min(least, other.price / times(job.spec.need, other.size));
+    }
+    const price = spot ? type.spotPrice : type.price;
+    return price / times(job.spec.need, type.size) > least * this.#ctx.settings.dear_factor;
+  }
+}
+
+function suits({ spec }: Job, type: MachineType): boolean {
+  return fits(spec.need, type.size) && (spec.types === null || spec.types.includes(type.name));
+}
+
+function larger(a: Amount | null, b: Amount): Amount {
+  if (!a) return b;
+  return { cpu: Math.max(a.cpu, b.cpu), gpu: Math.max(a.gpu, b.gpu), ram: Math.max(a.ram, b.ram) };
+}
