--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * The order in which waiting jobs are served: by priority, within it what its team's guarantee covers first, then
- * what can still be in time, then the shortest first, which gets the most jobs done in time.
+ * The order in which waiting jobs are served: by priority and whether its team's guarantee covers it,
+ * then what can still be in time, then the shortest first, which gets the most jobs done in time.
  */
 export function inOrder(ctx: Context, jobs: readonly Job[], guaranteed: ReadonlySet<Job>): Job[] {
   const wallNow = ctx.wallMs;
@@ -35,7 +35,7 @@
     const late = hasAim(ctx, job) && (due === null || ageS + job.spec.estimateS > due);
     return {
       job,
-      rank: job.spec.priority * 2 + (guaranteed.has(job) ? 1 : 0),
+      rank: job.spec.priority * 2 + (guaranteed.has(job) ? 3 : 0),
       late: late ? 1 : 0,
       left: job.spec.shape === "array" ? leftS(job) : 0,
     };
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -41,6 +41,7 @@
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
   roundsCut = 0;
+  readonly stops = new Map<string, number>();
 
   constructor(ctx: Context, reign: Reigning, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
@@ -425,6 +426,7 @@
 
   /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
   stopOrderly(placement: Placement, why: string): void {
+    this.stops.set(why.split(" j-")[0] ?? why, (this.stops.get(why.split(" j-")[0] ?? why) ?? 0) + 1);
     const { job } = placement;
     const graceS = job.spec.checkpointS > 0 ? Math.ceil(job.spec.saveS) + 1 : 0;
     const group = job.spec.shape === "gang" ? [...job.held.values()] : [placement];
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -10,8 +10,14 @@
   /** Slots asked for, and when. */
   arrivals: { at: number; slots: number }[];
   imageGb: number;
+  /** How many machines were in use or asked for, with the spare ones. */
+  needed: { at: number; count: number }[];
 }
 
+const KEEP_WINDOWS = 1.25;
+const CEASED_TIMES = 4;
+const CEASED_MIN_MS = 45_000;
+
 /**
  * How many machines with GPUs to keep. They are dear, and a new one takes longer to boot and fetch its image
  * than work can wait: so as many are kept free as is likely to be asked for meanwhile, and the rest is returned.
@@ -22,12 +28,16 @@
   readonly #scheduler: Scheduler;
   readonly #kinds = new Map<string, Kind>();
   readonly #seen = new Set<Job>();
+  /** Machines to hire before they are asked for, by type. */
+  readonly missing = new Map<string, number>();
+  readonly #startedAt: number;
   #tickedAt = 0;
 
   constructor(ctx: Context, tables: Tables, scheduler: Scheduler) {
     this.#ctx = ctx;
     this.#tables = tables;
     this.#scheduler = scheduler;
+    this.#startedAt = ctx.now;
   }
 
   tick(): void {
@@ -62,7 +72,7 @@
   #kind(type: MachineType): Kind {
     let kind = this.#kinds.get(type.name);
     if (!kind) {
-      kind = { need: null, arrivals: [], imageGb: 0 };
+      kind = { need: null, arrivals: [], imageGb: 0, needed: [] };
       this.#kinds.set(type.name, kind);
     }
     return kind;
@@ -88,7 +98,19 @@
       else wanted ||= !this.tooDear(job, type, false);
     }
     const free = machines.filter((m) => !busy(m) && m.phase === "up");
-    let surplus = wanted ? 0 : machines.length - machines.filter(busy).length - waiting - spare;
+    const inUse = machines.filter(busy).length + waiting;
+    kind.needed.push({ at: this.#ctx.now, count: inUse + spare });
+    while (
+      kind.needed[0] &&
+      kind.needed[0].at < this.#ctx.now - KEEP_WINDOWS * settings.spare_window_s * 1000
+    ) {
+      kind.needed.shift();
+    }
+    // While such work keeps coming, what it needed at its height is kept; once it has ceased, only what is in use.
+    const keep = this.#ceased(kind) ? inUse : Math.max(...kind.needed.map((n) => n.count));
+    const young = this.#ctx.now - this.#startedAt < settings.spare_window_s * 1000;
+    let surplus = wanted || young ? 0 : machines.length - keep;
+    this.missing.set(type.name, this.#ceased(kind) ? 0 : Math.max(0, inUse + spare - machines.length));
     // The dear ones first, and of those the emptiest.
     free.sort(
       (a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size || a.ix - b.ix,
@@ -105,6 +127,14 @@
     }
   }
 
+  /** No such work for several times as long as it usually takes for some to come. */
+  #ceased(kind: Kind): boolean {
+    const last = kind.arrivals.at(-1);
+    if (!last) return true;
+    const usualMs = (this.#ctx.settings.spare_window_s * 1000) / kind.arrivals.length;
+    return this.#ctx.now - last.at > Math.max(CEASED_MIN_MS, CEASED_TIMES * usualMs);
+  }
+
   /** Small work is worth a machine with GPUs only up to a multiple of what it costs elsewhere. */
   tooDear(job: Job, type: MachineType, spot: boolean): boolean {
     if (job.spec.need.gpu > 0 || type.size.gpu === 0) return false;
