Quick starts where the image is; a zone held for gangs; gangs not broken for small work

Causes, from logs of starts and stops: services waited 14 s for images although machines that had them ran lesser work; guaranteed small work broke up gangs; gangs of three never got three places in a zone.

--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -12,7 +12,17 @@
   return due;
 }
 
-function hasAim(ctx: Context, job: Job): boolean {
+/** The shortest time within which the operators want tasks of this job's class to start. */
+export function waitAimS(ctx: Context, job: Job): number | null {
+  let least: number | null = null;
+  for (const { kind, jobClass, withinS } of ctx.deployment.objectives) {
+    if (kind !== "wait" || jobClass !== job.spec.jobClass || withinS === null) continue;
+    if (least === null || withinS < least) least = withinS;
+  }
+  return least;
+}
+
+export function hasAim(ctx: Context, job: Job): boolean {
   if (job.spec.deadlineS !== null) return true;
   return ctx.deployment.objectives.some((o) => o.kind === "finished" && o.jobClass === job.spec.jobClass);
 }
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -60,7 +60,7 @@
     });
     this.fleet = new Fleet(ctx, leadership, reigning, this.tables, this.recorder, {
       gone: (placement, cause) => this.#gone(placement, cause),
-      started: () => {},
+      started: (placement) => this.#started(placement),
       changed: () => {
         this.#dirty = true;
       },
@@ -153,6 +153,7 @@
           session,
           attempt,
           durable: true,
+          placedAt: now,
           seen: null,
           sentToken: 0,
           sentAt: Number.NEGATIVE_INFINITY,
@@ -278,6 +279,17 @@
     }
   }
 
+  #started({ job, task, machine, placedAt }: Placement): void {
+    this.#ctx.log("debug", "task runs", {
+      job: job.uid,
+      task,
+      class: job.spec.jobClass,
+      machine: machine.name,
+      after_s: Math.round((this.#ctx.wallMs - job.acceptedAt) / 100) / 10,
+      placed_s: Math.round((this.#ctx.now - placedAt) / 100) / 10,
+    });
+  }
+
   #gone(placement: Placement, cause: Cause | "lost"): void {
     const { job, machine, task } = placement;
     const { now } = this.#ctx;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -2,13 +2,15 @@
 import type { Budget, Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import type { Reigning } from "./leadership.js";
-import { inOrder } from "./order.js";
+import { inOrder, waitAimS } from "./order.js";
 import type { Recorder } from "./recorder.js";
 import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
 import type { Amount } from "./types.js";
 
 const RESERVE_MS = 15_000;
 const RECLAIM_MS = 5000;
+/** Renewed in each round for as long as the gang waits. */
+const HOLD_MS = 2000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
 const GPU_WASTE_S = 60;
 const FULLEST_S = 5;
@@ -41,7 +43,6 @@
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
   roundsCut = 0;
-  readonly stops = new Map<string, number>();
 
   constructor(ctx: Context, reign: Reigning, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
@@ -121,7 +122,37 @@
     const { job } = entry;
     job.blockedSince ??= this.#ctx.now;
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
-    if (job.spec.priority >= 2 || entry.guaranteed) this.#preempt(job, count, entry.guaranteed);
+    if (job.spec.priority >= 2 || entry.guaranteed) {
+      this.#makeRoom(job, count, entry.guaranteed, () => true, null);
+    }
+    if (job.spec.shape === "gang" && job.spec.tasks > 1) this.#holdZone(job);
+  }
+
+  /**
+   * A gang that needs several places in one zone would never get them while smaller jobs take each one
+   * that comes free: the zone that is nearest to having them is held for it, free place by free place.
+   */
+  #holdZone(job: Job): void {
+    const { now } = this.#ctx;
+    const free = new Map<string, Machine[]>();
+    for (const machine of this.#candidates(job)) {
+      if (!fits(job.spec.need, machine.room())) continue;
+      const list = free.get(machine.zone);
+      if (list) list.push(machine);
+      else free.set(machine.zone, [machine]);
+    }
+    if (!job.spec.oneZone) {
+      for (const list of free.values()) for (const m of list) this.#hold(m, job, now + HOLD_MS);
+      return;
+    }
+    let best: Machine[] = [];
+    for (const list of free.values()) if (list.length > best.length) best = list;
+    for (const machine of best) this.#hold(machine, job, now + HOLD_MS);
+  }
+
+  #hold(machine: Machine, job: Job, until: number): void {
+    const held = this.#reserved.get(machine);
+    if (!held || held.until <= this.#ctx.now || held.job === job) this.#reserved.set(machine, { job, until });
   }
 
   /** How many more tasks of this job its team's limit allows. */
@@ -212,11 +243,7 @@
 
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
   score(job: Job, machine: Machine): number {
-    const { now } = this.#ctx;
-    let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S;
-    const image = machine.images.get(job.spec.image);
-    if (image) s += Math.max(0, image.readyAt - now) / 1000;
-    else s += job.spec.imageGb / Math.max(0.01, machine.type?.fetchGbPerS ?? 1);
+    let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
     if (this.#inTheWay(job, machine)) s += GPU_WASTE_S;
     return s;
   }
@@ -231,9 +258,28 @@
   }
 
   #placeMany(job: Job, count: number): number {
+    const withinS = waitAimS(this.#ctx, job);
+    if (withinS === null) return this.#fill(job, count, () => true);
+    // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
+    const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
+    let placed = this.#fill(job, count, quick);
+    if (placed < count && job.spec.priority >= 2) {
+      placed += this.#makeRoom(job, count - placed, false, quick, withinS);
+    }
+    if (placed < count) placed += this.#fill(job, count - placed, () => true);
+    return placed;
+  }
+
+  #imageWaitS(job: Job, machine: Machine): number {
+    const image = machine.images.get(job.spec.image);
+    if (image) return Math.max(0, image.readyAt - this.#ctx.now) / 1000;
+    return job.spec.imageGb / Math.max(0.01, machine.type?.fetchGbPerS ?? 1);
+  }
+
+  #fill(job: Job, count: number, suits: (machine: Machine) => boolean): number {
     let placed = 0;
     const { oneZone, spread, tasks } = job.spec;
-    const machines = this.#ranked(job);
+    const machines = this.#ranked(job).filter(suits);
     const zoneCap = spread ? Math.ceil(tasks / 2) : Number.POSITIVE_INFINITY;
     let onlyZone: string | null = null;
     if (oneZone) {
@@ -307,6 +353,7 @@
       session: machine.session,
       attempt,
       durable: false,
+      placedAt: this.#ctx.now,
       seen: null,
       sentToken: 0,
       sentAt: Number.NEGATIVE_INFINITY,
@@ -327,7 +374,9 @@
   #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
     const spec = victim.job.spec;
     if (spec.priority < job.spec.priority) return true;
-    if (!guaranteed || spec.team === job.spec.team || spec.priority === 3) return false;
+    // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
+    if (!guaranteed || spec.team === job.spec.team || spec.priority > job.spec.priority) return false;
+    if (spec.priority === 3) return false;
     // Taking back what another team has borrowed must not throw away much work.
     const ranMs = victim.runningSince === null ? 0 : this.#ctx.now - victim.runningSince;
     if (spec.checkpointS === 0 && ranMs > RECLAIM_MS) return false;
@@ -340,12 +389,23 @@
     );
   }
 
-  #preempt(job: Job, count: number, guaranteed: boolean): void {
+  /**
+   * Stops lesser work so that up to `count` tasks of the job find room; returns for how many. With `hurryS` work that
+   * takes longer than that to save is not waited for.
+   */
+  #makeRoom(
+    job: Job,
+    count: number,
+    guaranteed: boolean,
+    suits: (machine: Machine) => boolean,
+    hurryS: number | null,
+  ): number {
     const { now } = this.#ctx;
-    if ((this.#preempting.get(job) ?? 0) > now) return;
-    const { need, tasks, oneZone, spread } = job.spec;
+    if ((this.#preempting.get(job) ?? 0) > now) return 0;
+    const { need, tasks, oneZone, spread, shape } = job.spec;
     const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
     for (const machine of this.#candidates(job)) {
+      if (!suits(machine)) continue;
       const plan = this.#plan(job, machine, need, guaranteed);
       if (plan) plans.push({ machine, ...plan });
     }
@@ -368,18 +428,24 @@
         slots += n;
         chosen.push(plan);
       }
-      if (slots === 0 || (job.spec.shape === "gang" && slots < tasks)) continue;
+      if (slots === 0 || (shape === "gang" && slots < tasks)) continue;
       let graceS = 0;
       for (const { machine, victims } of chosen) {
         this.#reserved.set(machine, { job, until: now + RESERVE_MS });
         for (const victim of victims) {
-          graceS = Math.max(graceS, victim.job.spec.saveS);
+          const { saveS, checkpointS } = victim.job.spec;
+          if (hurryS !== null && checkpointS > 0 && saveS > hurryS && victim.job.spec.shape !== "gang") {
+            this.#fleet.stop(victim, 0, `room for ${job.uid}`);
+            continue;
+          }
+          graceS = Math.max(graceS, saveS);
           this.stopOrderly(victim, `room for ${job.uid}`);
         }
       }
       this.#preempting.set(job, now + graceS * 1000 + this.#ctx.deployment.reportS * 2000);
-      return;
+      return slots;
     }
+    return 0;
   }
 
   /** The cheapest tasks to stop on this machine so that at least one task of the job fits. */
@@ -426,7 +492,12 @@
 
   /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
   stopOrderly(placement: Placement, why: string): void {
-    this.stops.set(why.split(" j-")[0] ?? why, (this.stops.get(why.split(" j-")[0] ?? why) ?? 0) + 1);
+    this.#ctx.log("debug", "task stopped", {
+      job: placement.job.uid,
+      task: placement.task,
+      machine: placement.machine.name,
+      why,
+    });
     const { job } = placement;
     const graceS = job.spec.checkpointS > 0 ? Math.ceil(job.spec.saveS) + 1 : 0;
     const group = job.spec.shape === "gang" ? [...job.held.values()] : [placement];
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -1,5 +1,6 @@
 import { fits, times } from "./amount.js";
 import type { Context } from "./context.js";
+import { hasAim } from "./order.js";
 import type { Scheduler } from "./scheduler.js";
 import type { Job, Machine, Tables } from "./tables.js";
 import type { Amount, MachineType } from "./types.js";
@@ -10,6 +11,8 @@
   /** Slots asked for, and when. */
   arrivals: { at: number; slots: number }[];
   imageGb: number;
+  /** The teams that such work came from: their limits bound how much of it can run at once. */
+  readonly teams: Set<string>;
   /** How many machines were in use or asked for, with the spare ones. */
   needed: { at: number; count: number }[];
 }
@@ -58,6 +61,7 @@
       for (const type of this.#tables.types.values()) {
         if (!suits(job, type)) continue;
         const kind = this.#kind(type);
+        kind.teams.add(job.spec.team);
         kind.need = larger(kind.need, job.spec.need);
         kind.imageGb = Math.max(kind.imageGb * 0.9, job.spec.imageGb);
         const slots = Math.ceil(job.spec.tasks / times(job.spec.need, type.size));
@@ -72,7 +76,7 @@
   #kind(type: MachineType): Kind {
     let kind = this.#kinds.get(type.name);
     if (!kind) {
-      kind = { need: null, arrivals: [], imageGb: 0, needed: [] };
+      kind = { need: null, arrivals: [], imageGb: 0, teams: new Set(), needed: [] };
       this.#kinds.set(type.name, kind);
     }
     return kind;
@@ -98,8 +102,10 @@
       else wanted ||= !this.tooDear(job, type, false);
     }
     const free = machines.filter((m) => !busy(m) && m.phase === "up");
-    const inUse = machines.filter(busy).length + waiting;
-    kind.needed.push({ at: this.#ctx.now, count: inUse + spare });
+    const most = this.#mostAtOnce(type, kind);
+    const inUse = Math.min(most, machines.filter(busy).length + waiting);
+    const wantedNow = Math.min(most, inUse + spare);
+    kind.needed.push({ at: this.#ctx.now, count: wantedNow });
     while (
       kind.needed[0] &&
       kind.needed[0].at < this.#ctx.now - KEEP_WINDOWS * settings.spare_window_s * 1000
@@ -110,7 +116,7 @@
     const keep = this.#ceased(kind) ? inUse : Math.max(...kind.needed.map((n) => n.count));
     const young = this.#ctx.now - this.#startedAt < settings.spare_window_s * 1000;
     let surplus = wanted || young ? 0 : machines.length - keep;
-    this.missing.set(type.name, this.#ceased(kind) ? 0 : Math.max(0, inUse + spare - machines.length));
+    this.missing.set(type.name, this.#ceased(kind) ? 0 : Math.max(0, wantedNow - machines.length));
     // The dear ones first, and of those the emptiest.
     free.sort(
       (a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size || a.ix - b.ix,
@@ -120,13 +126,24 @@
       if (surplus-- <= 0) break;
       machine.retiring = true;
       for (const placement of [...machine.placements]) {
-        if (placement.job.spec.checkpointS > 0 && !placement.stop) {
+        if (placement.job.spec.checkpointS > 0 && !placement.stop && !hasAim(this.#ctx, placement.job)) {
           this.#scheduler.stopOrderly(placement, "its machine is not needed");
         }
       }
     }
   }
 
+  /** More machines than the teams' limits let work run on are of no use. */
+  #mostAtOnce(type: MachineType, kind: Kind): number {
+    const { need } = kind;
+    if (!need || need.gpu === 0) return 0;
+    let tasks = 0;
+    for (const team of this.#ctx.deployment.teams) {
+      if (kind.teams.has(team.name)) tasks += Math.floor(team.limit.gpu / need.gpu);
+    }
+    return Math.ceil(tasks / Math.max(1, times(need, type.size)));
+  }
+
   /** No such work for several times as long as it usually takes for some to come. */
   #ceased(kind: Kind): boolean {
     const last = kind.arrivals.at(-1);
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -25,6 +25,7 @@
   readonly machine: Machine;
   readonly session: number;
   readonly attempt: number;
+  readonly placedAt: number;
   /** Recorded in the state service; nothing is sent before. */
   durable: boolean;
   /** What the worker last said of it; null while no report has shown it. */
