--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -4,8 +4,9 @@
 
 const DEFAULT_NODE = "127.0.0.1:8080";
 
+/** The program is one bundle in target/, beside the manifest's folder. */
 function version(): string {
-  const manifest: unknown = JSON.parse(readFileSync(new URL("../../package.json", import.meta.url), "utf8"));
+  const manifest: unknown = JSON.parse(readFileSync(new URL("../package.json", import.meta.url), "utf8"));
   const { version } = manifest as { version?: unknown };
   return typeof version === "string" ? version : "unknown";
 }
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -1,15 +1,37 @@
 import type { Context } from "./context.js";
 import type { Job } from "./tables.js";
 
-/** When, in seconds after its acceptance, a job is of less use: its deadline, or the next aim of its class. */
-function dueS(ctx: Context, job: Job, ageS: number): number | null {
-  let due = job.spec.deadlineS !== null && job.spec.deadlineS > ageS ? job.spec.deadlineS : null;
+/** The part of an aim's time after which a job that has missed an earlier one is hurried again. */
+const HURRY_PART = 0.6;
+
+/** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
+function pressure(ctx: Context, job: Job, ageS: number): 0 | 1 | 2 {
+  const { spec } = job;
+  const started = spec.shape === "gang" ? job.running() > 0 : job.doneCount + job.held.size > 0;
+  let next: number | null = null;
+  let missed = false;
+  const consider = (dueS: number) => {
+    if (dueS <= ageS) missed = true;
+    else if (next === null || dueS < next) next = dueS;
+  };
+  // Alone on as many machines as it likes, a job takes at least one task's time.
+  if (spec.deadlineS !== null) consider(spec.deadlineS - spec.estimateS);
   for (const { kind, jobClass, withinS } of ctx.deployment.objectives) {
-    if (kind !== "finished" || jobClass !== job.spec.jobClass || withinS === null || withinS <= ageS)
-      continue;
-    if (due === null || withinS < due) due = withinS;
+    if (jobClass !== spec.jobClass || withinS === null) continue;
+    if (kind === "finished") consider(withinS - spec.estimateS);
+    else if (kind === "wait" && !started) consider(withinS);
   }
-  return due;
+  if (!missed) return 0;
+  if (next === null) return 2;
+  return ageS > next * HURRY_PART ? 0 : 1;
+}
+
+/** True for a job that can still meet its next aim, but has used up a good part of its time. */
+export function isPressed(ctx: Context, job: Job): boolean {
+  const ageS = (ctx.wallMs - job.acceptedAt) / 1000;
+  const withinS = waitAimS(ctx, job);
+  if (withinS !== null && ageS < withinS) return ageS > withinS * HURRY_PART;
+  return pressure(ctx, job, ageS) === 0;
 }
 
 /** The shortest time within which the operators want tasks of this job's class to start. */
@@ -40,14 +62,11 @@
   const wallNow = ctx.wallMs;
   const keyed = jobs.map((job) => {
     const ageS = (wallNow - job.acceptedAt) / 1000;
-    const due = dueS(ctx, job, ageS);
-    // Alone on as many machines as it likes, a job takes at least one task's time.
-    const late = hasAim(ctx, job) && (due === null || ageS + job.spec.estimateS > due);
     return {
       job,
       rank: job.spec.priority * 2 + (guaranteed.has(job) ? 3 : 0),
-      late: late ? 1 : 0,
-      left: job.spec.shape === "array" ? leftS(job) : 0,
+      late: pressure(ctx, job, ageS),
+      left: job.spec.shape === "service" ? 0 : leftS(job),
     };
   });
   keyed.sort(
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -2,7 +2,7 @@
 import type { Budget, Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import type { Reigning } from "./leadership.js";
-import { inOrder, waitAimS } from "./order.js";
+import { inOrder, isPressed, waitAimS } from "./order.js";
 import type { Recorder } from "./recorder.js";
 import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
 import type { Amount } from "./types.js";
@@ -125,7 +125,7 @@
     if (job.spec.priority >= 2 || entry.guaranteed) {
       this.#makeRoom(job, count, entry.guaranteed, () => true, null);
     }
-    if (job.spec.shape === "gang" && job.spec.tasks > 1) this.#holdZone(job);
+    if (job.spec.shape === "gang" && job.spec.tasks > 1 && isPressed(this.#ctx, job)) this.#holdZone(job);
   }
 
   /**
