Services stay off GPU machines; their stock is bounded at hiring, and retiring sticks

Cause, from a log of the stock: machines chosen for return changed from second to second, kept small work and services, and the end of arrivals was noticed only when the window had emptied. A fault in the core no longer ends the process; the leader steps down instead.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -113,6 +113,12 @@
     return this.ctx.takeEffects();
   }
 
+  /** After a fault: what was decided before it stands, and the tables it may have damaged are given up. */
+  recover(): Effect[] {
+    this.leadership.stepDown("a fault in the core");
+    return this.ctx.takeEffects();
+  }
+
   #one(command: Command, budget: Budget): void {
     switch (command.t) {
       case "tick":
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -245,7 +245,8 @@
         const offer = this.#cheapest(job, zone, slots, now);
         if (!offer) break;
         const per = times(job.spec.need, offer.type.size);
-        const count = Math.min(50, Math.ceil(slots / per), settings.max_machines - total);
+        const room = job.spec.need.gpu > 0 ? this.#stock.mostAtOnce(offer.type) : settings.max_machines;
+        const count = Math.min(50, Math.ceil(slots / per), settings.max_machines - total, room);
         const key = keyOf(offer);
         const sum = wanted.get(key);
         if (sum) sum.count += count;
@@ -330,6 +331,7 @@
   }
 
   #cheapest(job: Job, zone: string | null, slots: number, now: number): Offer | null {
+    const counts = this.#counts();
     let best: Offer | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
     const perZone = new Map<string, number>();
@@ -342,6 +344,7 @@
           const offer = { type, zone: z, spot };
           if (!this.#offerSuits(job, offer)) continue;
           if (this.#stock.tooDear(job, type, spot)) continue;
+          if (job.spec.need.gpu > 0 && (counts.get(type.name) ?? 0) >= this.#stock.mostAtOnce(type)) continue;
           if ((this.#refused.get(keyOf(offer))?.until ?? 0) > now) continue;
           const price = spot ? type.spotPrice * SPOT_RISK : type.price;
           const per = times(job.spec.need, type.size);
@@ -356,6 +359,20 @@
     return best;
   }
 
+  /** Machines of each type that are there or have been asked for. */
+  #counts(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.phase === "releasing" || machine.lost) continue;
+      counts.set(machine.typeName, (counts.get(machine.typeName) ?? 0) + 1);
+    }
+    for (const [key, count] of this.#hiring) {
+      const [typeName = ""] = key.split(" ");
+      counts.set(typeName, (counts.get(typeName) ?? 0) + count);
+    }
+    return counts;
+  }
+
   #request(offer: Offer, count: number): void {
     const key = keyOf(offer);
     if (this.#hiring.has(key)) return;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -9,6 +9,7 @@
 
 const RESERVE_MS = 15_000;
 const RECLAIM_MS = 5000;
+const SERVICE_PATIENCE_MS = 8000;
 /** Renewed in each round for as long as the gang waits. */
 const HOLD_MS = 2000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
@@ -231,6 +232,10 @@
   #wastesGpus(job: Job, machine: Machine): boolean {
     if (job.spec.need.gpu > 0) return false;
     if (machine.retiring) return true;
+    // A service never ends: it would keep a dear machine for good.
+    if (job.spec.shape === "service" && (machine.type?.size.gpu ?? 0) > 0 && this.fitsWithoutGpus(job)) {
+      return job.blockedSince === null || this.#ctx.now - job.blockedSince < SERVICE_PATIENCE_MS;
+    }
     if (!this.#inTheWay(job, machine) || job.spec.checkpointS > 0) return false;
     const keep = this.#room.get(machine.typeName);
     if (!keep?.need) return false;
@@ -241,10 +246,19 @@
     return free <= keep.spare;
   }
 
+  /** Is there a machine type without GPUs for it? */
+  fitsWithoutGpus({ spec }: Job): boolean {
+    for (const type of this.#tables.types.values()) {
+      if (type.size.gpu > 0 || !fits(spec.need, type.size)) continue;
+      if (spec.types === null || spec.types.includes(type.name)) return true;
+    }
+    return false;
+  }
+
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
   score(job: Job, machine: Machine): number {
     let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
-    if (this.#inTheWay(job, machine)) s += GPU_WASTE_S;
+    if (this.#inTheWay(job, machine) || machine.retiring) s += GPU_WASTE_S;
     return s;
   }
 
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -11,6 +11,9 @@
   /** Slots asked for, and when. */
   arrivals: { at: number; slots: number }[];
   imageGb: number;
+  /** When the last came, and the usual time between two. */
+  lastAt: number;
+  gapMs: number;
   /** The teams that such work came from: their limits bound how much of it can run at once. */
   readonly teams: Set<string>;
   /** How many machines were in use or asked for, with the spare ones. */
@@ -19,6 +22,7 @@
 
 const KEEP_WINDOWS = 1.25;
 const CEASED_TIMES = 4;
+const GAP_WEIGHT = 0.1;
 const CEASED_MIN_MS = 45_000;
 
 /**
@@ -66,6 +70,9 @@
         kind.imageGb = Math.max(kind.imageGb * 0.9, job.spec.imageGb);
         const slots = Math.ceil(job.spec.tasks / times(job.spec.need, type.size));
         kind.arrivals.push({ at: this.#ctx.now, slots });
+        const gapMs = this.#ctx.now - kind.lastAt;
+        if (Number.isFinite(gapMs)) kind.gapMs += GAP_WEIGHT * (gapMs - kind.gapMs);
+        kind.lastAt = this.#ctx.now;
       }
     }
     for (const kind of this.#kinds.values()) {
@@ -76,7 +83,15 @@
   #kind(type: MachineType): Kind {
     let kind = this.#kinds.get(type.name);
     if (!kind) {
-      kind = { need: null, arrivals: [], imageGb: 0, teams: new Set(), needed: [] };
+      kind = {
+        need: null,
+        arrivals: [],
+        imageGb: 0,
+        lastAt: Number.NEGATIVE_INFINITY,
+        gapMs: 0,
+        teams: new Set(),
+        needed: [],
+      };
       this.#kinds.set(type.name, kind);
     }
     return kind;
@@ -102,7 +117,7 @@
       else wanted ||= !this.tooDear(job, type, false);
     }
     const free = machines.filter((m) => !busy(m) && m.phase === "up");
-    const most = this.#mostAtOnce(type, kind);
+    const most = this.mostAtOnce(type);
     const inUse = Math.min(most, machines.filter(busy).length + waiting);
     const wantedNow = Math.min(most, inUse + spare);
     kind.needed.push({ at: this.#ctx.now, count: wantedNow });
@@ -117,6 +132,16 @@
     const young = this.#ctx.now - this.#startedAt < settings.spare_window_s * 1000;
     let surplus = wanted || young ? 0 : machines.length - keep;
     this.missing.set(type.name, this.#ceased(kind) ? 0 : Math.max(0, wantedNow - machines.length));
+    this.#ctx.log("debug", "stock", {
+      type: type.name,
+      machines: machines.length,
+      busy: machines.filter(busy).length,
+      waiting,
+      spare,
+      keep,
+      wanted,
+      surplus,
+    });
     // The dear ones first, and of those the emptiest.
     free.sort(
       (a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size || a.ix - b.ix,
@@ -134,7 +159,8 @@
   }
 
   /** More machines than the teams' limits let work run on are of no use. */
-  #mostAtOnce(type: MachineType, kind: Kind): number {
+  mostAtOnce(type: MachineType): number {
+    const kind = this.#kind(type);
     const { need } = kind;
     if (!need || need.gpu === 0) return 0;
     let tasks = 0;
@@ -145,11 +171,8 @@
   }
 
   /** No such work for several times as long as it usually takes for some to come. */
-  #ceased(kind: Kind): boolean {
-    const last = kind.arrivals.at(-1);
-    if (!last) return true;
-    const usualMs = (this.#ctx.settings.spare_window_s * 1000) / kind.arrivals.length;
-    return this.#ctx.now - last.at > Math.max(CEASED_MIN_MS, CEASED_TIMES * usualMs);
+  #ceased({ lastAt, gapMs }: Kind): boolean {
+    return this.#ctx.now - lastAt > Math.max(CEASED_MIN_MS, CEASED_TIMES * gapMs);
   }
 
   /** Small work is worth a machine with GPUs only up to a multiple of what it costs elsewhere. */
