--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -3,6 +3,8 @@
 
 /** The part of an aim's time after which a job that has missed an earlier one is hurried again. */
 const HURRY_PART = 0.6;
+/** For this many times the aim for its start, guaranteed work goes before more important work. */
+const GUARANTEE_PART = 4;
 
 /** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
 function pressure(ctx: Context, job: Job, ageS: number): 0 | 1 | 2 {
@@ -49,6 +51,15 @@
   return ctx.deployment.objectives.some((o) => o.kind === "finished" && o.jobClass === job.spec.jobClass);
 }
 
+/**
+ * What is within its team's guarantee goes before more important work for some time after its acceptance;
+ * later it only goes before its equals.
+ */
+function guaranteeBoost(ctx: Context, ageS: number): number {
+  const aim = ctx.deployment.objectives.find((o) => o.kind === "guarantee" && o.withinS !== null);
+  return aim?.withinS == null || ageS <= aim.withinS * GUARANTEE_PART ? 3 : 1;
+}
+
 /** Seconds of task time that are left, by the owner's estimate. */
 function leftS(job: Job): number {
   return (job.spec.tasks - job.doneCount) * Math.max(1, job.spec.estimateS);
@@ -64,7 +75,7 @@
     const ageS = (wallNow - job.acceptedAt) / 1000;
     return {
       job,
-      rank: job.spec.priority * 2 + (guaranteed.has(job) ? 3 : 0),
+      rank: job.spec.priority * 2 + (guaranteed.has(job) ? guaranteeBoost(ctx, ageS) : 0),
       late: pressure(ctx, job, ageS),
       left: job.spec.shape === "service" ? 0 : leftS(job),
     };
