--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -3,8 +3,8 @@
 
 /** The part of an aim's time after which a job that has missed an earlier one is hurried again. */
 const HURRY_PART = 0.6;
-/** For this many times the aim for its start, guaranteed work goes before more important work. */
-const GUARANTEE_PART = 4;
+/** For this long guaranteed work goes before more important work, if the operators have an aim for its start. */
+const GUARANTEE_S = 60;
 
 /** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
 function pressure(ctx: Context, job: Job, ageS: number): 0 | 1 | 2 {
@@ -56,8 +56,11 @@
  * later it only goes before its equals.
  */
 function guaranteeBoost(ctx: Context, ageS: number): number {
-  const aim = ctx.deployment.objectives.find((o) => o.kind === "guarantee" && o.withinS !== null);
-  return aim?.withinS == null || ageS <= aim.withinS * GUARANTEE_PART ? 3 : 1;
+  return ageS <= Math.max(GUARANTEE_S, aimS(ctx, "guarantee") ?? 0) ? 3 : 1;
+}
+
+function aimS(ctx: Context, kind: string): number | null {
+  return ctx.deployment.objectives.find((o) => o.kind === kind)?.withinS ?? null;
 }
 
 /** Seconds of task time that are left, by the owner's estimate. */
