--- a/src/core/mover.ts
+++ b/src/core/mover.ts
@@ -162,7 +162,7 @@
     let best: Machine | null = null;
     let bestShare = -1;
     for (const machine of this.#tables.machines.values()) {
-      if (machine === from || this.#isCold(machine)) continue;
+      if (machine === from || machine.retiring || this.#isCold(machine)) continue;
       if (!this.#scheduler.usable(machine) || !this.#scheduler.allows(job, machine)) continue;
       const size = machine.type?.size.cpu ?? 0;
       if (size === 0) continue;
