Tests for leadership, proofs, commands, decisions and the move; an inherited move waits for its target

Found by the new test: a new leader gave up the recorded move because it had not heard of its target yet.

--- a/src/core/mover.ts
+++ b/src/core/mover.ts
@@ -201,8 +201,11 @@
         break;
       case "draining":
         if (!placement || placement.machine !== from) this.#finish(pending, "the replica is gone");
-        else if (!this.#scheduler.usable(to)) this.#finish(pending, "the target is lost");
-        else if (now - pending.since >= settings.move_drain_s * 1000) {
+        else if (now - pending.since < settings.move_drain_s * 1000) {
+          // A new leader has yet to hear from the target: only a lost one ends the move before the drain is over.
+          if (to.lost || to.phase === "releasing") this.#finish(pending, "the target is lost");
+        } else if (!this.#scheduler.usable(to)) this.#finish(pending, "the target can't be used");
+        else {
           pending.phase = "stopping";
           pending.since = now;
           this.#fleet.stop(placement, 0, "move");
--- /dev/null
+++ b/test/decisions.test.ts
@@ -0,0 +1,267 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { tokenOf } from "../src/core/tables.js";
+import { Bench, job, type Said } from "./bench.js";
+
+const GPU = { type: "gpu" } as const;
+
+/** Answers direct commands as a worker would that starts at once what it is told to start. */
+function settle(b: Bench, held: Map<string, Said[]>, more: Record<string, object> = {}): void {
+  for (let round = 0; round < 12; round++) {
+    for (const { machine, orders } of b.sent.splice(0)) {
+      const list = held.get(machine) ?? [];
+      for (const o of orders) {
+        const at = list.findIndex((s) => s.uid === o.uid && s.task === o.task && s.attempt === o.attempt);
+        if (o.op === "start" && at < 0)
+          list.push({ uid: o.uid, task: o.task, attempt: o.attempt, state: "running" });
+        if (o.op === "stop" && at >= 0)
+          list[at] = { ...(list[at] as Said), state: "ended", cause: "stopped" };
+      }
+      held.set(machine, list);
+    }
+    for (const name of held.keys()) b.answerDo(name, held.get(name) ?? [], more[name] ?? {});
+    b.pass(100);
+  }
+}
+
+function beat(b: Bench, held: Map<string, Said[]>, more: Record<string, object>, seconds: number): void {
+  for (let s = 0; s < seconds; s++) {
+    for (const name of held.keys()) b.report(name, held.get(name) ?? [], more[name] ?? {});
+    b.pass(1000);
+    settleOnce(b, held, more);
+  }
+}
+
+function settleOnce(b: Bench, held: Map<string, Said[]>, more: Record<string, object>): void {
+  const before = b.now;
+  settle(b, held, more);
+  assert.ok(b.now >= before);
+}
+
+function live(held: Map<string, Said[]>, name: string, uid?: string): Said[] {
+  return (held.get(name) ?? []).filter((s) => s.state !== "ended" && (uid === undefined || s.uid === uid));
+}
+
+test("a team's tasks never hold more than its limit", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>();
+  for (const name of ["A", "B", "C", "D", "E", "F", "G"]) {
+    held.set(name, []);
+    b.report(name);
+  }
+  b.submit(job("j-1", { tasks: 40, team: "blue" }));
+  settle(b, held);
+  const n = [...held.keys()].reduce((sum, name) => sum + live(held, name).length, 0);
+  assert.equal(n, 16, "blue may use 16 CPUs of the 28");
+});
+
+test("a spread service has at most half of its tasks, rounded up, in one zone", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { shape: "service", priority: 3, tasks: 3, spread: true, estimateS: 0 }));
+  settle(b, held);
+  assert.equal(live(held, "A").length, 2);
+});
+
+test("a gang starts whole, in one zone, under one attempt, or not at all", () => {
+  const b = new Bench().lead();
+  const spec = { shape: "gang", priority: 2, tasks: 2, types: ["gpu"], oneZone: true } as const;
+  const held = new Map<string, Said[]>([
+    ["A", []],
+    ["B", []],
+  ]);
+  b.report("A", [], GPU);
+  b.report("B", [], { ...GPU, zone: "b" });
+  b.submit(job("j-1", { ...spec, need: { cpu: 5000, gpu: 1000, ram: 1000 } }));
+  b.pass(500);
+  assert.deepEqual(b.starts("j-1"), []);
+  held.set("C", []);
+  b.report("C", [], GPU);
+  b.pass(1200);
+  const starts = b.starts("j-1");
+  assert.deepEqual(starts.map((s) => s.machine).sort(), ["A", "C"]);
+  assert.equal(new Set(starts.map((s) => s.attempt)).size, 1);
+  assert.ok(tokenOf(starts[0]?.attempt ?? 0) > 0);
+});
+
+test("the rest of a broken gang is stopped, and nothing of it starts before all is gone", () => {
+  const b = new Bench().lead();
+  const more = { A: GPU, B: GPU };
+  for (const name of ["A", "B"]) b.report(name, [], GPU);
+  b.submit(
+    job("j-1", {
+      shape: "gang",
+      priority: 2,
+      tasks: 2,
+      need: { cpu: 5000, gpu: 1000, ram: 1000 },
+      types: ["gpu"],
+    }),
+  );
+  b.pass(200);
+  const [first, second] = b.starts("j-1");
+  assert.ok(first && second);
+  const said = (s: typeof first, state: Said["state"], cause: Said["cause"] = null): Said => ({
+    uid: "j-1",
+    task: s.task,
+    attempt: s.attempt,
+    state,
+    cause,
+  });
+  b.answerDo(first.machine, [said(first, "running")], more.A);
+  b.answerDo(second.machine, [said(second, "running")], more.B);
+  b.report(first.machine, [said(first, "ended", "error")], GPU);
+  b.pass(500);
+  assert.deepEqual(b.ops("stop", "j-1"), [`${second.machine} ${second.task}`]);
+  assert.equal(b.starts("j-1").length, 2);
+  b.answerDo(second.machine, [said(second, "ended", "stopped")], GPU);
+  b.pass(2500);
+  const again = b.starts("j-1").slice(2);
+  assert.equal(again.length, 2);
+  assert.ok(again.every((s) => s.attempt !== first.attempt));
+});
+
+test("lesser work makes room for production, saving first if it can; equals do not", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { tasks: 4, priority: 0, checkpointS: 5, saveS: 2 }));
+  settle(b, held);
+  assert.equal(live(held, "A", "j-1").length, 4);
+  b.submit(job("j-2", { tasks: 1, priority: 0, team: "blue" }));
+  b.pass(500);
+  assert.deepEqual(b.ops("stop", "j-1"), []);
+  b.submit(job("j-3", { shape: "service", priority: 3, estimateS: 0 }));
+  b.pass(200);
+  const stop = b.sent.flatMap((s) => s.orders).find((o) => o.op === "stop");
+  assert.ok(stop?.op === "stop" && stop.graceS >= 2);
+});
+
+test("a round that has used its time goes on where it stopped", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([
+    ["A", []],
+    ["B", []],
+  ]);
+  b.report("A");
+  b.report("B");
+  // One job a round.
+  b.budget = () => true;
+  for (let i = 1; i <= 5; i++) b.submit(job(`j-${i}`));
+  settle(b, held);
+  assert.ok((b.core.reign?.scheduler.roundsCut ?? 0) > 0);
+  for (let i = 1; i <= 5; i++) {
+    const n = ["A", "B"].reduce((sum, name) => sum + live(held, name, `j-${i}`).length, 0);
+    assert.equal(n, 1, `j-${i}`);
+  }
+});
+
+test("a machine on which different jobs fail is set aside; a job that fails everywhere is held back", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  for (const uid of ["j-1", "j-2"]) {
+    b.submit(job(uid));
+    b.pass(200);
+    const { attempt } = b.starts(uid).at(-1) ?? { attempt: 0 };
+    b.answerDo("A", [{ uid, task: 0, attempt, state: "ended", cause: "error" }]);
+    b.pass(200);
+    b.unanswered.splice(0);
+    for (const machine of b.core.reign?.tables.machines.values() ?? []) machine.doInFlight = false;
+  }
+  assert.equal(
+    [...(b.core.reign?.tables.machines.values() ?? [])].find((m) => m.name === "A")?.mode,
+    "drain",
+  );
+});
+
+test("machines: hired for what finds no place, under names never used again, and returned when idle", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1", { tasks: 12, estimateS: 200 }));
+  b.pass(3000);
+  const hires = b.cloudCalls.filter((c) => c.t === "hire");
+  assert.ok(hires.length > 0);
+  assert.equal(new Set(hires.map((c) => c.t === "hire" && c.request)).size, hires.length);
+  b.cancel("j-1");
+  const quiet = new Bench().lead();
+  for (let s = 0; s < 110; s++) {
+    quiet.report("A");
+    quiet.pass(1000);
+  }
+  assert.ok(quiet.cloudCalls.some((c) => c.t === "release" && c.machines.includes("A")));
+});
+
+test("operators' settings: stored, effective at once, and nothing changes on a bad value", () => {
+  const b = new Bench().lead();
+  assert.equal(b.admin({ t: "change", values: { move_low: 2 } })?.t, "bad");
+  assert.equal(b.admin({ t: "change", values: { no_such: 1 } })?.t, "bad");
+  assert.equal(b.admin({ t: "change", values: { move_drain_s: "long" } })?.t, "bad");
+  assert.equal(b.core.ctx.settings.move_low, 0.3);
+  assert.equal(b.admin({ t: "change", values: { move_low: 0.2 } })?.t, "ok");
+  assert.equal(b.core.ctx.settings.move_low, 0.2);
+  const other = new Bench("n1", b.state);
+  other.now = b.now;
+  other.pass(500);
+  assert.equal(other.core.ctx.settings.move_low, 0.2);
+});
+
+/* ---- the move ---- */
+
+/** A is cold with one replica of j-11; B, with two of j-10, is not; the move has been decided and is on record. */
+function moving(): { b: Bench; held: Map<string, Said[]> } {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  const service = { shape: "service", priority: 3, estimateS: 0 } as const;
+  b.report("A");
+  b.submit(job("j-11", service));
+  settle(b, held);
+  assert.equal(live(held, "A", "j-11").length, 1);
+  b.report("B");
+  held.set("B", []);
+  b.admin({ t: "machine", name: "A", mode: "cordon" });
+  b.submit(job("j-10", { ...service, tasks: 2 }));
+  settle(b, held);
+  assert.equal(live(held, "B", "j-10").length, 2);
+  b.admin({ t: "machine", name: "A", mode: "open" });
+  beat(b, held, {}, 20);
+  assert.ok(b.state.items.has("c/move"), "the move is on record");
+  return { b, held };
+}
+
+test("move: a replica leaves a cold machine after the drain, and starts on proof that the old copy is gone", () => {
+  const { b, held } = moving();
+  assert.equal(live(held, "A", "j-11").length, 1, "the old copy drains");
+  assert.equal(live(held, "B", "j-11").length, 0, "and no second copy runs meanwhile");
+  beat(b, held, {}, 25);
+  assert.equal(live(held, "A", "j-11").length, 0);
+  assert.equal(live(held, "B", "j-11").length, 1);
+  assert.equal(b.state.items.has("c/move"), false, "the record is cleared");
+});
+
+test("move: none without a target that is not cold, nor before the window has passed", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([
+    ["A", []],
+    ["B", []],
+  ]);
+  for (const name of held.keys()) b.report(name);
+  b.submit(job("j-11", { shape: "service", priority: 3, estimateS: 0 }));
+  settle(b, held);
+  beat(b, held, {}, 60);
+  assert.equal(b.core.reign?.mover.moves, 0, "B is as cold as A");
+});
+
+test("move: a new leader finishes the recorded one first", () => {
+  const { b, held } = moving();
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  assert.equal(next.core.reign?.mover.pending?.job, "j-11");
+  next.unanswered.splice(0);
+  for (const machine of next.core.reign?.tables.machines.values() ?? []) machine.doInFlight = false;
+  beat(next, held, {}, 34);
+  assert.equal(live(held, "A", "j-11").length, 0);
+  assert.equal(live(held, "B", "j-11").length, 1);
+  assert.equal(next.core.reign?.mover.moves, 0, "it began none of its own before");
+});
--- /dev/null
+++ b/test/safety.test.ts
@@ -0,0 +1,328 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { tokenOf } from "../src/core/tables.js";
+import { Bench, job } from "./bench.js";
+import { StateService } from "./state-service.js";
+
+function only<T>(list: readonly T[]): T {
+  assert.equal(list.length, 1, `one expected, not ${JSON.stringify(list)}`);
+  return list[0] as T;
+}
+
+/** A leader with machine A, on which task 0 of j-1 has been started and is running. */
+function running(state = new StateService()): { b: Bench; attempt: number } {
+  const b = new Bench("n0", state).lead();
+  b.report("A");
+  b.submit(job("j-1"));
+  b.pass(200);
+  const { attempt } = only(b.starts("j-1"));
+  b.answerDo("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  return { b, attempt };
+}
+
+test("a start is sent only after its placement is on record", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.stateRule = (call) => (call.t === "txn" && JSON.stringify(call).includes("p/j-1") ? "hang" : null);
+  b.submit(job("j-1"));
+  b.pass(500);
+  assert.deepEqual(b.starts("j-1"), []);
+  const { id, call } = only(b.hung);
+  assert.ok(call.t === "txn");
+  b.give({ t: "state", id, answer: b.state.run(call, b.now) });
+  assert.equal(b.starts("j-1").length, 1);
+});
+
+test("a leader that the state service refuses launches nothing, answers reports for a time, then no more", () => {
+  const { b, attempt } = running();
+  const token = b.core.leadership.reign?.token;
+  b.stateRule = () => ({ t: "refused", why: "outage" });
+  b.pass(4000);
+  assert.equal(b.core.leadership.confirmed, false);
+  const answer = b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  assert.ok(answer?.t === "orders" && answer.token === token);
+  assert.equal(b.submit(job("j-2"))?.t, "later");
+  b.pass(40_000);
+  assert.equal(b.core.reign, null);
+  assert.notEqual(b.report("A")?.t, "orders");
+});
+
+test("a leader whose grant is gone, or that sees a higher token, steps down at once", () => {
+  for (const way of ["grant", "token"]) {
+    const { b } = running();
+    if (way === "grant") b.stateRule = (call) => (call.t === "renew" ? { t: "absent" } : null);
+    else b.report("B", [], { token: 99 });
+    b.pass(1000);
+    if (way === "grant") b.stateRule = null;
+    assert.ok(b.core.reign === null || b.core.reign.reigning.token > 1, way);
+  }
+});
+
+test("a transaction of a deposed leader that is applied late changes nothing", () => {
+  const state = new StateService();
+  const b = new Bench("n0", state).lead();
+  b.report("A");
+  b.stateRule = (call) => (call.t === "txn" && JSON.stringify(call).includes("p/j-1") ? "hang" : null);
+  b.submit(job("j-1"));
+  b.pass(300);
+  const { call } = only(b.hung);
+  assert.ok(call.t === "txn");
+  state.expire(b.now + 60_000);
+  const next = new Bench("n1", state);
+  next.now = b.now + 60_000;
+  next.lead();
+  assert.ok(next.core.reign);
+  assert.equal(state.run(call, next.now).t, "conflict");
+  assert.equal(state.items.has("p/j-1/0"), false);
+});
+
+test("tokens never repeat: each leader's is higher than all before, also after raises", () => {
+  const { b } = running();
+  const first = b.core.leadership.reign?.token ?? 0;
+  for (let i = 0; i < 32; i++) {
+    b.pass(1000);
+    b.report("A");
+  }
+  const raised = b.core.leadership.reign?.token ?? 0;
+  assert.ok(raised > first);
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  assert.ok((next.core.leadership.reign?.token ?? 0) > raised);
+});
+
+/** A new leader over the records of one that placed task 0 of j-1 on A; A has not been heard. */
+function succeeded(): { b: Bench; attempt: number } {
+  const { b: old, attempt } = running();
+  old.state.expire(old.now + 60_000);
+  const b = new Bench("n1", old.state);
+  b.now = old.now + 60_000;
+  b.lead();
+  assert.ok(b.core.reign?.fleet.loaded);
+  b.report("B", [], { zone: "b" });
+  b.pass(300);
+  return { b, attempt };
+}
+
+test("a new leader starts a recorded task nowhere else until its machine carries the new token without it", () => {
+  const { b } = succeeded();
+  assert.deepEqual(b.starts("j-1"), [], "nothing is known of A yet");
+  b.report("A", [], { token: 1 });
+  b.pass(300);
+  assert.deepEqual(
+    b.starts("j-1"),
+    [],
+    "a report under the old token proves nothing: a start may be on its way",
+  );
+  b.silenceDo();
+  b.report("A");
+  b.pass(2000);
+  assert.equal(b.starts("j-1").length, 1);
+});
+
+test("a new leader adopts what it finds running", () => {
+  const { b, attempt } = succeeded();
+  b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  b.pass(2000);
+  assert.deepEqual(b.starts("j-1"), []);
+  assert.deepEqual(b.poll("j-1"), { t: "view", view: { uid: "j-1", phase: "running", done: 0, running: 1 } });
+});
+
+test("an unadopted machine is waited out for the former leader's hold and the lease, not less", () => {
+  const { b } = succeeded();
+  b.cloudRule = () => ({ t: "refused", why: "down" });
+  const since = b.core.reign?.reigning.since ?? 0;
+  const boundMs = b.core.leadership.holdMs() + 3000 + 12_000;
+  const keepAlive = () => b.report("B", [], { zone: "b" });
+  while (b.now < since + boundMs) {
+    keepAlive();
+    b.pass(1000);
+    if (b.now < since + boundMs) assert.deepEqual(b.starts("j-1"), []);
+  }
+  for (let i = 0; i < 4; i++) {
+    keepAlive();
+    b.pass(1000);
+  }
+  assert.equal(b.starts("j-1").length, 1);
+});
+
+test("proofs that a task is gone: a later session, the release, the lease; absence alone is none", () => {
+  const absent = running();
+  absent.b.report("B", [], { zone: "b" });
+  // Nothing but the report of a worker that has lost sight of it; the token is the one it was started under.
+  absent.b.report("A");
+  absent.b.pass(300);
+  assert.equal(absent.b.starts("j-1").length, 1, "absence alone");
+
+  const session = running();
+  session.b.report("A", [], { session: 2 });
+  session.b.pass(300);
+  assert.equal(session.b.starts("j-1").length, 2, "later session");
+
+  const released = running();
+  released.b.report("B", [], { zone: "b" });
+  released.b.cloudRule = (call) => {
+    if (call.t === "release") return { t: "released" };
+    if (call.t !== "list") return { t: "refused", why: "" };
+    const at = { address: "A:1", type: "small", zone: "a", spot: false, ageS: 5 };
+    return { t: "page", machines: [{ name: "A", phase: "failed", ...at }], more: false };
+  };
+  released.b.pass(3000);
+  released.b.report("B", [], { zone: "b" });
+  released.b.pass(3000);
+  assert.deepEqual(released.b.starts("j-1").at(-1)?.machine, "B", "release");
+
+  const lease = running();
+  lease.b.cloudRule = () => ({ t: "refused", why: "" });
+  for (let s = 0; s < 11; s++) {
+    lease.b.report("B", [], { zone: "b" });
+    lease.b.pass(1000);
+  }
+  assert.equal(lease.b.starts("j-1").length, 1, "the lease still runs");
+  for (let s = 0; s < 3; s++) {
+    lease.b.report("B", [], { zone: "b" });
+    lease.b.pass(1000);
+  }
+  assert.equal(lease.b.starts("j-1").length, 2, "the lease is over");
+});
+
+test("a worker back with a new session has its full lease, also if only direct answers were heard", () => {
+  // Found by the property test: it was taken for dead by the lease of its former session (ran_twice).
+  const { b } = running();
+  b.cloudRule = () => ({ t: "refused", why: "" });
+  b.pass(14_000);
+  const reports = () => b.answerDo("A", [], { session: 2 });
+  b.core.reign?.fleet.fence([...(b.core.reign?.tables.machines.values() ?? [])][0] as never);
+  b.give({ t: "tick" });
+  reports();
+  b.pass(300);
+  const { attempt } = b.starts("j-1").at(-1) ?? { attempt: 0 };
+  b.answerDo("A", [{ uid: "j-1", task: 0, attempt, state: "running" }], { session: 2 });
+  b.pass(5000);
+  assert.equal(
+    b.starts("j-1").filter((s) => s.attempt !== attempt).length,
+    1,
+    "only the first attempt before it",
+  );
+});
+
+test("an unanswered start is repeated: same attempt, same machine, until it is seen", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1"));
+  b.pass(200);
+  b.silenceDo();
+  for (let i = 0; i < 3; i++) {
+    b.pass(2000);
+    b.report("A");
+    b.silenceDo();
+  }
+  const starts = b.starts("j-1");
+  assert.ok(starts.length >= 1);
+  assert.equal(new Set(starts.map((s) => `${s.machine} ${s.attempt}`)).size, 1);
+  const answer = b.report("A");
+  assert.ok(answer?.t === "orders");
+});
+
+test("a cancelled task whose start may be on its way is started and stopped, so that the start can't come later", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1"));
+  b.pass(200);
+  b.silenceDo();
+  b.cancel("j-1");
+  b.pass(2000);
+  const last = b.sent.at(-1);
+  assert.deepEqual(
+    last?.orders.map((o) => o.op),
+    ["start", "stop"],
+  );
+});
+
+test("an ended attempt is cleared only when its worker carries a higher token than it was started under", () => {
+  const { b, attempt } = running();
+  const ended = { uid: "j-1", task: 0, attempt, state: "ended", cause: "done" } as const;
+  const early = b.report("A", [ended]);
+  assert.ok(early?.t === "orders" && early.orders.every((o) => o.op !== "forget"));
+  for (let i = 0; i < 33; i++) {
+    b.pass(1000);
+    b.report("A", [ended]);
+  }
+  assert.ok((b.core.leadership.reign?.token ?? 0) > tokenOf(attempt));
+  const late = b.report("A", [ended]);
+  assert.ok(late?.t === "orders" && late.orders.some((o) => o.op === "forget"));
+});
+
+test("of cancelling and completing just one wins, and it stays", () => {
+  const { b, attempt } = running();
+  b.report("A", [{ uid: "j-1", task: 0, attempt, state: "ended", cause: "done" }]);
+  b.pass(500);
+  const answer = b.cancel("j-1");
+  assert.ok(answer?.t === "view" && answer.view.phase === "done");
+
+  const other = running();
+  const cancelled = other.b.cancel("j-1");
+  assert.ok(cancelled?.t === "view" && cancelled.view.phase === "cancelled");
+  other.b.report("A", [{ uid: "j-1", task: 0, attempt: other.attempt, state: "ended", cause: "done" }]);
+  other.b.pass(3000);
+  const after = other.b.poll("j-1");
+  assert.ok(after?.t === "view" && after.view.phase === "cancelled");
+  assert.equal(other.b.submit(job("j-1"))?.t, "accepted");
+});
+
+test("reports that are late, repeated or from an earlier session change nothing", () => {
+  const { b, attempt } = running();
+  const old = b.makeReport("A", [{ uid: "j-1", task: 0, attempt, state: "ended", cause: "done" }]);
+  b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  b.give({ t: "report", req: 900, report: old, raw: null });
+  b.pass(500);
+  assert.equal(b.core.reign?.counts("j-1")?.done, 0);
+});
+
+test("neither an old list nor a late report brings a released machine back into use", () => {
+  const b = new Bench().lead();
+  const listed = (phase: "failed" | "running") => ({
+    t: "page" as const,
+    machines: [{ name: "A", address: "A:1", type: "small", zone: "a", spot: false, phase, ageS: 5 }],
+    more: false,
+  });
+  let phase: "failed" | "running" = "failed";
+  b.cloudRule = (call) =>
+    call.t === "list" ? listed(phase) : call.t === "release" ? { t: "released" } : { t: "refused", why: "" };
+  b.report("A");
+  b.pass(5000);
+  phase = "running";
+  b.pass(5000);
+  b.report("A");
+  b.submit(job("j-1"));
+  b.pass(1000);
+  assert.deepEqual(b.starts("j-1"), []);
+});
+
+test("404 needs proof: without the state service nothing is said to be unknown", () => {
+  const b = new Bench().lead();
+  assert.equal(b.poll("j-5")?.t, "unknown");
+  b.stateRule = () => ({ t: "silent" });
+  assert.equal(b.poll("j-5")?.t, "later");
+});
+
+test("a known job is never turned away, however its repeated submission looks", () => {
+  const b = new Bench().lead();
+  b.submit(job("j-1"));
+  assert.equal(b.submit(job("j-1", { team: "nobody" }))?.t, "accepted");
+  b.give({ t: "submit", req: 500, uid: "j-1", spec: "cpus: missing" });
+  assert.equal(b.submit(job("j-2", { team: "nobody" }))?.t, "never");
+  assert.equal(b.submit(job("j-3", { need: { cpu: 99_000, gpu: 0, ram: 0 } }))?.t, "never");
+  assert.equal(b.submit(job("j-4", { shape: "gang", tasks: 25 }))?.t, "never", "more than the team's limit");
+  assert.equal(b.submit(job("j-6", { tasks: 25 }))?.t, "accepted", "an array needs room for one task");
+});
+
+test("a fault in the core costs the office, not the process", () => {
+  const { b } = running();
+  b.core.recover();
+  assert.equal(b.core.leaderName === null || b.core.leadership.reign === null, true);
+  b.pass(6000);
+  assert.ok(b.core.leadership.reign, "it leads again");
+  assert.equal(b.core.status().jobs, 1, "with what the records say");
+});
--- a/test/world.ts
+++ b/test/world.ts
@@ -13,10 +13,10 @@
   ReportAnswer,
   StateAnswer,
   StateCall,
-  StateItem,
   TaskState,
   UserAnswer,
 } from "../src/core/types.js";
+import { StateService } from "./state-service.js";
 
 /**
  * A model of everything outside the core: state service, cloud, workers, users, network. It plays in
@@ -212,101 +212,6 @@
   }
 }
 
-class StateService {
-  readonly items = new Map<string, StateItem>();
-  readonly grants = new Map<number, { until: number; lifeMs: number }>();
-  readonly #owned = new Map<string, number>();
-  readonly log: { key: string; item: StateItem | null; revision: number }[] = [];
-  revision = 0;
-  outageUntil = 0;
-  #nextGrant = 1;
-
-  expire(now: number): void {
-    if (now < this.outageUntil) return;
-    for (const [grant, { until }] of this.grants) if (until <= now) this.drop(grant);
-  }
-
-  endOutage(now: number): void {
-    for (const grant of this.grants.values()) grant.until = now + grant.lifeMs;
-  }
-
-  drop(grant: number): void {
-    this.grants.delete(grant);
-    for (const [key, owner] of this.#owned) if (owner === grant) this.#remove(key, ++this.revision);
-  }
-
-  #remove(key: string, revision: number): void {
-    this.items.delete(key);
-    this.#owned.delete(key);
-    this.log.push({ key, item: null, revision });
-  }
-
-  run(call: Exclude<StateCall, { t: "follow" }>, now: number): StateAnswer {
-    switch (call.t) {
-      case "get": {
-        const item = this.items.get(call.key);
-        return item ? { t: "item", item: structuredClone(item) } : { t: "absent" };
-      }
-      case "list": {
-        const keys = [...this.items.keys()].filter((k) => k.startsWith(call.prefix)).sort();
-        const from = call.after === null ? keys : keys.filter((k) => k > (call.after ?? ""));
-        const items = from.slice(0, 20).flatMap((key) => this.items.get(key) ?? []);
-        return { t: "page", items: structuredClone(items), more: from.length > 20, revision: this.revision };
-      }
-      case "grant": {
-        const grant = this.#nextGrant++;
-        this.grants.set(grant, { until: now + call.lifeMs, lifeMs: call.lifeMs });
-        return { t: "granted", grant };
-      }
-      case "renew": {
-        const grant = this.grants.get(call.grant);
-        if (!grant) return { t: "absent" };
-        grant.until = now + grant.lifeMs;
-        return { t: "ok", revision: this.revision };
-      }
-      case "drop":
-        this.drop(call.grant);
-        return { t: "ok", revision: this.revision };
-      case "txn": {
-        const failed = call.conditions.filter((c) => (this.items.get(c.key)?.version ?? 0) !== c.version);
-        if (failed.length > 0) return { t: "conflict", failed: failed.map((c) => c.key) };
-        for (const change of call.changes) {
-          if ("put" in change && change.grant !== undefined && !this.grants.has(change.grant)) {
-            return { t: "refused", why: "no such lease" };
-          }
-        }
-        const revision = ++this.revision;
-        for (const change of call.changes) {
-          if ("remove" in change) {
-            if (this.items.has(change.remove)) this.#remove(change.remove, revision);
-            continue;
-          }
-          const item = { key: change.put, value: structuredClone(change.value), version: revision };
-          this.items.set(change.put, item);
-          if (change.grant === undefined) this.#owned.delete(change.put);
-          else this.#owned.set(change.put, change.grant);
-          this.log.push({ key: change.put, item, revision });
-        }
-        return { t: "ok", revision };
-      }
-    }
-  }
-
-  since(prefix: string, after: number): StateAnswer | null {
-    const found = this.log.filter((e) => e.revision > after && e.key.startsWith(prefix));
-    if (found.length === 0) return null;
-    return {
-      t: "events",
-      revision: this.revision,
-      events: found.map((e) =>
-        e.item
-          ? { t: "put", item: structuredClone(e.item) }
-          : { t: "removed", key: e.key, version: e.revision },
-      ),
-    };
-  }
-}
-
 export class World {
   now = 0;
   readonly violations: Violation[] = [];
