--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -106,10 +106,11 @@
 }
 
 test("a new leader starts a recorded task nowhere else until its machine carries the new token without it", () => {
-  const { b } = succeeded();
+  const { b, attempt } = succeeded();
   assert.deepEqual(b.starts("j-1"), [], "nothing is known of A yet");
   b.report("A", [], { token: 1 });
   b.pass(300);
+  assert.equal(b.core.reign?.tables.jobByUid("j-1")?.held.get(0)?.attempt, attempt);
   assert.deepEqual(
     b.starts("j-1"),
     [],
