--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -25,6 +25,9 @@
 const REDIRECT_MEMORY_MS = 30_000;
 /** Without a leader a report waits this long for one: workers give up after 4 s. */
 const HOLD_REPORT_MS = 2000;
+/** A leader that has heard none of at least so many machines for so many report intervals is cut off from them. */
+const DEAF_MIN = 3;
+const DEAF_REPORTS = 3;
 const SWEEP_MS = 30_000;
 const UNREADY_AFTER_MS = 2500;
 const CALL_MS = 1500;
@@ -33,7 +36,7 @@
 interface Peer {
   heardAt: number;
   stateOk: boolean;
-  token: number;
+  workersHeard: number;
   up: boolean;
 }
 
@@ -55,6 +58,8 @@
   readonly #peers = new Map<string, Peer>();
   readonly #progress = new Map<string, { done: number; running: number }>();
   readonly #redirected = new Map<string, number>();
+  /** Workers that have lately reported to this node, whether or not it could answer them. */
+  readonly #reporters = new Map<number, number>();
   #waitingReports: { req: number; report: Report; raw: unknown; until: number }[] = [];
   #beatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
@@ -84,7 +89,12 @@
       counts: (uid) => this.reign?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
     for (const name of deployment.peers) {
-      this.#peers.set(name, { heardAt: Number.NEGATIVE_INFINITY, stateOk: false, token: 0, up: false });
+      this.#peers.set(name, {
+        heardAt: Number.NEGATIVE_INFINITY,
+        stateOk: false,
+        workersHeard: 0,
+        up: false,
+      });
     }
   }
 
@@ -174,6 +184,7 @@
     this.view.tick();
     this.leadership.tick();
     this.reign?.tick(budget);
+    this.#mayHandOver();
     const { now } = this.ctx;
     if (now - this.#beatAt >= BEAT_MS) this.#beat();
     if (now - this.#sweepAt >= SWEEP_MS) {
@@ -191,6 +202,24 @@
     }
   }
 
+  /**
+   * A leader may reach the state service and yet no worker: renewing on, it would let every lease run out. It hands over
+   * if a peer hears workers, or if no peer is heard either. Were all workers hanging, the next leader would find
+   * the same, and this one stays out of the race for a while: leadership doesn't flap.
+   */
+  #mayHandOver(): void {
+    if (!this.reign) return;
+    const { now, deployment } = this.ctx;
+    const quietMs = deployment.reportS * DEAF_REPORTS * 1000;
+    const machines = [...this.reign.tables.machines.values()].filter((m) => m.phase === "up" && !m.lost);
+    const heard = machines.filter((m) => Number.isFinite(m.heardAt));
+    if (heard.length < DEAF_MIN || heard.some((m) => now - m.heardAt < quietMs)) return;
+    const peers = [...this.#peers.values()];
+    const others = peers.some((p) => now - p.heardAt < PEER_FRESH_MS && p.workersHeard > 0);
+    const alone = peers.length > 0 && peers.every((p) => now - p.heardAt >= PEER_FRESH_MS);
+    if (others || alone) this.leadership.handOver("no worker is heard here");
+  }
+
   #beat(): void {
     this.#beatAt = this.ctx.now;
     const message: PeerMessage = {
@@ -198,11 +227,17 @@
       token: this.leadership.reign?.token ?? this.leadership.highestSeen,
       leader: this.reign ? this.ctx.deployment.node : null,
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
-      workersHeard: 0,
+      workersHeard: this.#workersHeard(),
     };
     for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
   }
 
+  #workersHeard(): number {
+    for (const [machine, at] of this.#reporters)
+      if (this.ctx.now - at > PEER_FRESH_MS) this.#reporters.delete(machine);
+    return this.#reporters.size;
+  }
+
   #peerSaid(from: string, message: PeerMessage): void {
     const peer = this.#peers.get(from);
     if (!peer) return;
@@ -210,7 +245,7 @@
       case "beat":
         peer.heardAt = this.ctx.now;
         peer.stateOk = message.stateOk;
-        peer.token = message.token;
+        peer.workersHeard = message.workersHeard;
         this.leadership.sawToken(message.token);
         break;
       case "job":
@@ -257,6 +292,7 @@
   }
 
   #report(req: number, report: Report, raw: unknown): void {
+    this.#reporters.set(report.machine, this.ctx.now);
     const waiting = { req, report, raw, until: this.ctx.now + HOLD_REPORT_MS };
     if (!this.#tryReport(waiting)) this.#waitingReports.push(waiting);
   }
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -133,7 +133,7 @@
   #watchMachines(): void {
     const { now, settings, deployment } = this.#ctx;
     const up = [...this.#tables.machines.values()].filter((m) => m.phase === "up");
-    const silentMs = deployment.reportS * 3500 + 1000;
+    const silentMs = deployment.reportS * 2600 + 700;
     const silent = up.filter((m) => now - m.heardAt > silentMs).length;
     // When most are silent it is this node that is cut off, not the machines that are gone.
     const hearing = silent <= Math.max(1, up.length / 3);
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -7,6 +7,7 @@
 export const DRIFT = 1.001;
 const MARGIN_MS = 250;
 const CALL_MS = 900;
+const STAY_OUT_MS = 20_000;
 
 export type Standing =
   | { readonly t: "follower" }
@@ -93,6 +94,15 @@
     this.#events.deposed(why);
   }
 
+  /** Gives the office up for others to take, and stays out of the race for a while. */
+  handOver(why: string): void {
+    const { reign } = this;
+    if (!reign) return;
+    this.#ctx.state({ t: "drop", grant: reign.grant }, CALL_MS, () => {});
+    this.stepDown(why);
+    this.#standAt = this.#ctx.now + STAY_OUT_MS;
+  }
+
   configChanged(key: string): void {
     const reign = this.reign;
     if (key === KEYS.leader && reign) {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -327,3 +327,28 @@
   assert.ok(b.core.leadership.reign, "it leads again");
   assert.equal(b.core.status().jobs, 1, "with what the records say");
 });
+
+test("a leader that hears no worker while a peer does hands over and stays out of the race", () => {
+  const b = new Bench().lead();
+  for (const name of ["A", "B", "C"]) b.report(name);
+  const beat = (workersHeard: number) =>
+    b.give({
+      t: "peer",
+      from: "n1",
+      message: { t: "beat", token: 0, leader: null, stateOk: true, workersHeard },
+    });
+  for (let s = 0; s < 10; s++) {
+    beat(0);
+    b.pass(1000);
+  }
+  assert.ok(b.core.leadership.reign, "nobody hears any: handing over would not help");
+  for (const name of ["A", "B", "C"]) b.report(name);
+  for (let s = 0; s < 8; s++) {
+    beat(3);
+    b.pass(1000);
+  }
+  assert.equal(b.core.leadership.reign, null);
+  assert.equal(b.state.items.has("c/leader"), false, "the key is free at once");
+  b.pass(5000);
+  assert.equal(b.core.leadership.reign, null);
+});
