--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -9,6 +9,8 @@
 
 const RESERVE_MS = 15_000;
 const RECLAIM_MS = 5000;
+/** Fetches may take a third longer than the catalogue says. */
+const FETCH_SPREAD = 1.35;
 const SERVICE_PATIENCE_MS = 8000;
 /** Renewed in each round for as long as the gang waits. */
 const HOLD_MS = 2000;
@@ -111,7 +113,7 @@
     if (job.spec.shape === "gang") {
       // All tasks at once, and nothing of the former attempt may be left.
       if (job.held.size > 0 || allowed < job.spec.tasks) return;
-      if (!this.#placeGang(job)) this.#noPlace(entry, job.spec.tasks);
+      this.#serveGang(entry);
       return;
     }
     if (allowed === 0) return;
@@ -119,6 +121,30 @@
     if (placed < allowed) this.#noPlace(entry, allowed - placed);
   }
 
+  /**
+   * Images of gangs are large: fetching one can take longer than the start may. So machines that have it, or can have it
+   * in time, come first, lesser work making room on them; only then any other.
+   */
+  #serveGang(entry: Blocked): void {
+    const { job } = entry;
+    const { now } = this.#ctx;
+    const withinS = waitAimS(this.#ctx, job);
+    const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
+    if (leftS > 0) {
+      const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
+      if (this.#placeGang(job, quick)) return;
+      if ((this.#awaited.get(job) ?? 0) > now) return;
+      if (!this.#awaited.has(job) && this.#makeRoom(job, job.spec.tasks, entry.guaranteed, quick, null) > 0) {
+        this.#awaited.set(job, this.#preempting.get(job) ?? now);
+        return;
+      }
+    }
+    if (!this.#placeGang(job, () => true)) this.#noPlace(entry, job.spec.tasks);
+  }
+
+  /** Gangs for which room is being made where their image is, and until when that is waited for. */
+  readonly #awaited = new Map<Job, number>();
+
   #noPlace(entry: Blocked, count: number): void {
     const { job } = entry;
     job.blockedSince ??= this.#ctx.now;
@@ -316,9 +342,9 @@
     return placed;
   }
 
-  #placeGang(job: Job): boolean {
+  #placeGang(job: Job, suits: (machine: Machine) => boolean): boolean {
     const { need, tasks, oneZone, spread } = job.spec;
-    const ranked = this.#ranked(job);
+    const ranked = this.#ranked(job).filter(suits);
     const zones = oneZone ? [...new Set(ranked.map((machine) => machine.zone))] : [null];
     let best: { slots: Machine[]; cost: number } | null = null;
     for (const zone of zones) {
@@ -339,7 +365,7 @@
     }
     if (!best || !countersLeft(this.#counter + 1)) return false;
     const attempt = this.#attempt();
-    job.gangBroken = false;
+    this.#awaited.delete(job);
     for (const machine of best.slots) {
       const task = job.nextPending();
       if (task !== null) this.#place(job, task, machine, attempt);
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -57,8 +57,6 @@
   readonly held = new Map<number, Placement>();
   doneCount = 0;
   finishing = false;
-  /** A gang that lost a task: the rest must go before the next attempt. */
-  gangBroken = false;
   firstPlacedAt: number | null = null;
   blockedSince: number | null = null;
   readonly chunkVersions = new Map<number, number>();
