--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -228,7 +228,7 @@
         if (held.until <= now || held.job.pending === 0) this.#reserved.delete(machine);
         else if (held.job !== job && held.job.spec.priority >= job.spec.priority) continue;
       }
-      if (this.#wastesGpus(job, machine)) continue;
+      if (this.#wastesGpus(job, machine) || this.#slowsFetch(job, machine)) continue;
       if (job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2) continue;
       found.push(machine);
     }
@@ -272,6 +272,16 @@
     return free <= keep.spare;
   }
 
+  /** Fetches share a machine's line: another image would slow the one that a more important gang waits for. */
+  #slowsFetch(job: Job, machine: Machine): boolean {
+    if (machine.images.has(job.spec.image)) return false;
+    for (const { job: other, seen } of machine.placements) {
+      if (other.spec.shape !== "gang" || other.spec.priority <= job.spec.priority) continue;
+      if (seen === null || seen === "fetching") return true;
+    }
+    return false;
+  }
+
   /** Is there a machine type without GPUs for it? */
   fitsWithoutGpus({ spec }: Job): boolean {
     for (const type of this.#tables.types.values()) {
@@ -401,7 +411,6 @@
       stop: null,
     };
     this.#tables.place(placement);
-    job.firstPlacedAt ??= this.#ctx.now;
     job.blockedSince = null;
     const image = machine.images.get(job.spec.image);
     if (image) image.usedAt = this.#ctx.now;
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -57,7 +57,6 @@
   readonly held = new Map<number, Placement>();
   doneCount = 0;
   finishing = false;
-  firstPlacedAt: number | null = null;
   blockedSince: number | null = null;
   readonly chunkVersions = new Map<number, number>();
   readonly #status: Uint8Array;
