--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -11,6 +11,8 @@
 const RECLAIM_MS = 5000;
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
+/** What a free machine more in a zone weighs, in seconds of delay, when a gang's zone is chosen. */
+const ZONE_FILL_S = 0.5;
 const SERVICE_PATIENCE_MS = 8000;
 /** Renewed in each round for as long as the gang waits. */
 const HOLD_MS = 2000;
@@ -161,6 +163,10 @@
    */
   #holdZone(job: Job): void {
     const { now } = this.#ctx;
+    // One at a time: two gangs that each held part of a zone kept a third of the machines idle.
+    const holder = this.#holder;
+    if (holder && holder.job !== job && holder.until > now && holder.job.pending > 0) return;
+    this.#holder = { job, until: now + HOLD_MS };
     const free = new Map<string, Machine[]>();
     for (const machine of this.#candidates(job)) {
       if (!fits(job.spec.need, machine.room())) continue;
@@ -177,6 +183,8 @@
     for (const machine of best) this.#hold(machine, job, now + HOLD_MS);
   }
 
+  #holder: Reservation | null = null;
+
   #hold(machine: Machine, job: Job, until: number): void {
     const held = this.#reserved.get(machine);
     if (!held || held.until <= this.#ctx.now || held.job === job) this.#reserved.set(machine, { job, until });
@@ -369,8 +377,10 @@
         perZone.set(machine.zone, (perZone.get(machine.zone) ?? 0) + n);
         cost = Math.max(cost, this.score(job, machine));
         for (let i = 0; i < n; i++) slots.push(machine);
-        if (slots.length >= tasks) break;
       }
+      const free = ranked.filter((machine) => machine.zone === zone).length;
+      // Among equals the zone with the least room beside: the others stay open for gangs that need more of one.
+      cost += free * ZONE_FILL_S;
       if (slots.length >= tasks && (best === null || cost < best.cost)) best = { slots, cost };
     }
     if (!best || !countersLeft(this.#counter + 1)) return false;
