Services wait for a plain machine to boot before they take a GPU machine for good

Cause, from a log of GPU machines without gangs: three of twenty were full of replicas placed at the cold start, which nothing may stop and which no move empties (they are not cold).

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -13,7 +13,8 @@
 const FETCH_SPREAD = 1.35;
 /** What a free machine more in a zone weighs, in seconds of delay, when a gang's zone is chosen. */
 const ZONE_FILL_S = 0.5;
-const SERVICE_PATIENCE_MS = 8000;
+/** Boots take up to half as long again as the catalogue says. */
+const BOOT_PATIENCE = 1.5;
 /** Renewed in each round for as long as the gang waits. */
 const HOLD_MS = 2000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
@@ -266,9 +267,12 @@
   #wastesGpus(job: Job, machine: Machine): boolean {
     if (job.spec.need.gpu > 0) return false;
     if (machine.retiring) return true;
-    // A service never ends: it would keep a dear machine for good.
-    if (job.spec.shape === "service" && (machine.type?.size.gpu ?? 0) > 0 && this.fitsWithoutGpus(job)) {
-      return job.blockedSince === null || this.#ctx.now - job.blockedSince < SERVICE_PATIENCE_MS;
+    // A service never ends: it would keep a dear machine for good. One placed there at a cold start held a
+    // fifth of the GPUs all day; so it waits for as long as a plain machine takes to come.
+    if (job.spec.shape === "service" && (machine.type?.size.gpu ?? 0) > 0) {
+      const bootS = this.#plainBootS(job);
+      const waitedMs = job.blockedSince === null ? 0 : this.#ctx.now - job.blockedSince;
+      if (bootS !== null && waitedMs < bootS * BOOT_PATIENCE * 1000) return true;
     }
     if (!this.#inTheWay(job, machine) || job.spec.checkpointS > 0) return false;
     const keep = this.#room.get(machine.typeName);
@@ -290,13 +294,15 @@
     return false;
   }
 
-  /** Is there a machine type without GPUs for it? */
-  fitsWithoutGpus({ spec }: Job): boolean {
+  /** How long the quickest type without GPUs that the job fits takes to boot; null if there is none. */
+  #plainBootS({ spec }: Job): number | null {
+    let least: number | null = null;
     for (const type of this.#tables.types.values()) {
       if (type.size.gpu > 0 || !fits(spec.need, type.size)) continue;
-      if (spec.types === null || spec.types.includes(type.name)) return true;
+      if (spec.types !== null && !spec.types.includes(type.name)) continue;
+      if (least === null || type.bootS < least) least = type.bootS;
     }
-    return false;
+    return least;
   }
 
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
