--- a/src/core/amount.ts
+++ b/src/core/amount.ts
@@ -14,7 +14,7 @@
 
 // 1.1 * 1000 is a hair above 1100: rounding noise must not turn into a thousandth.
 function up(x: number): number {
-  return Math.ceil(x * 1000 - 1e-6);
+  return Math.max(0, Math.ceil(x * 1000 - 1e-6));
 }
 function down(x: number): number {
   return Math.floor(x * 1000 + 1e-6);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -19,6 +19,8 @@
 const HOLD_MS = 2000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
 const GPU_WASTE_S = 60;
+/** The same for work that can save: it leaves the plain machines to what can go nowhere else. */
+const SAVING_WASTE_S = 5;
 const FULLEST_S = 5;
 const FAILURE_S = 20;
 
@@ -308,7 +310,8 @@
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
   score(job: Job, machine: Machine): number {
     let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
-    if (this.#inTheWay(job, machine) || machine.retiring) s += GPU_WASTE_S;
+    if (machine.retiring) s += GPU_WASTE_S;
+    else if (this.#inTheWay(job, machine)) s += job.spec.checkpointS > 0 ? SAVING_WASTE_S : GPU_WASTE_S;
     return s;
   }
 
--- /dev/null
+++ b/test/door.test.ts
@@ -0,0 +1,239 @@
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { changeOperator, defaultOperator, readOperator } from "../src/config/operator.js";
+import { parseSettings, SettingsError } from "../src/config/settings.js";
+import { Directory } from "../src/core/names.js";
+import type { AdminAsk, JobSpec } from "../src/core/types.js";
+import { decodeCloudAnswer } from "../src/protocol/cloud.js";
+import { parseJob } from "../src/protocol/jobs.js";
+import { decodeStateAnswer } from "../src/protocol/state.js";
+import { decodeReport, encodeOrders } from "../src/protocol/workers.js";
+import { createServer, type Desk } from "../src/shell/api.js";
+
+const JOB = {
+  uid: "j-000412",
+  jobclass: "train",
+  crew: "red",
+  shape: "gang",
+  rank: "high",
+  pieces: 2,
+  cpus: 1.1,
+  gpus: 0,
+  ram_gb: 2,
+  bundle: "img",
+  size_gb: 1,
+  racks: null,
+  yard: null,
+  same_place: true,
+  apart: false,
+  loaners: false,
+  guess_s: 10,
+  snapshot_s: 0,
+  stow_s: 0,
+  due_s: null,
+};
+
+const SETTINGS = `
+node = "n0"
+site = "a"
+client_listen = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+surplus = 1
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[deployment]
+zones = ["a"]
+[[deployment.teams]]
+name = "red"
+cpus_max = 4.0
+[deployment.workers]
+report_s = 2.0
+lease_s = 14.0
+gang_wait_s = 50.0
+gang_peer_s = 5.0
+cancel_s = 44.0
+[deployment.state]
+rps = 250.0
+write_rps = 100.0
+value_kb = 32.0
+txn_ops = 48
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 10.0
+`;
+
+test("settings: unknown fields are ignored; what is missing, mistyped or impossible names its field", () => {
+  assert.equal(parseSettings(SETTINGS).deployment.leaseS, 14);
+  const cases: [string, string, RegExp][] = [
+    ['site = "a"\n', "", /^site: /],
+    ["lease_s = 14.0", 'lease_s = "long"', /^deployment\.workers\.lease_s: /],
+    ["lease_s = 14.0", "lease_s = 1.0", /^deployment\.workers\.lease_s: /],
+    ["127.0.0.1:8080", "127.0.0.1:99999", /^client_listen: /],
+    ["127.0.0.1:8080", "nowhere", /^client_listen: /],
+    ["cpus_max = 4.0", "cpus_max = -4.0", /^deployment\.teams\.0\.cpus_max: /],
+    ["[endpoints]", "[endpoints", /^not TOML/],
+  ];
+  for (const [from, to, message] of cases) {
+    assert.ok(SETTINGS.includes(from));
+    assert.throws(
+      () => parseSettings(SETTINGS.replace(from, to)),
+      (error) => error instanceof SettingsError && message.test(error.message),
+      to,
+    );
+  }
+});
+
+test("operators' settings that another version stored fall back one by one", () => {
+  const read = readOperator({ move_low: 0.2, idle_s: -5, unheard_of: true });
+  assert.deepEqual(read, { ...defaultOperator, move_low: 0.2 });
+  const crossed = changeOperator(defaultOperator, { move_low: 0.9 });
+  assert.ok(!crossed.ok && crossed.error.startsWith("move_low"));
+});
+
+test("jobs: a well-formed one is read, and each fault names its field", () => {
+  const good = parseJob(JOB);
+  assert.ok(typeof good.spec === "object");
+  assert.deepEqual(good.spec.need, { cpu: 1100, gpu: 0, ram: 2000 });
+  const { racks, due_s, yard, ...sparse } = JOB;
+  assert.deepEqual([racks, due_s, yard], [null, null, null]);
+  assert.ok(typeof parseJob(sparse).spec === "object", "a field that may be null may be missing");
+  for (const [field, value] of Object.entries({
+    uid: "x-1",
+    pieces: 0,
+    cpus: "4",
+    rank: "urgent",
+    shape: "batch",
+    same_place: 1,
+    guess_s: -1,
+    racks: "g8",
+    bundle: "",
+  })) {
+    const { spec } = parseJob({ ...JOB, [field]: value });
+    assert.ok(typeof spec === "string" && spec.startsWith(field), `${field}: ${JSON.stringify(spec)}`);
+  }
+  for (const body of [null, 5, "j-1", [JOB], undefined]) assert.equal(parseJob(body).uid, null);
+});
+
+test("reports: malformed ones are refused, and integers beyond a double's reach do no harm", () => {
+  const directory = new Directory();
+  const report = {
+    host: "i-1",
+    address: "10.0.0.1:1",
+    rack: "g8",
+    yard: "a",
+    loaners: false,
+    shift: 1,
+    tally: 2 ** 63,
+    baton: 0,
+    pieces: [{ piece: "j-1/3", try: 7, phase: "ended", cause: "error", stored: true }],
+  };
+  const read = decodeReport(report, directory);
+  assert.equal(read?.tasks[0]?.cause, "error");
+  const [order] = encodeOrders(
+    [{ op: "stop", job: read?.tasks[0]?.job ?? -1, task: 3, attempt: 7, graceS: 2 }],
+    directory,
+  );
+  assert.deepEqual(order, { verb: "stop", piece: "j-1/3", try: 7, windup_s: 2 });
+  const bad = [
+    {},
+    { ...report, shift: -1 },
+    { ...report, address: "http://x" },
+    { ...report, pieces: [{ piece: "j-1", try: 1, phase: "running" }] },
+    { ...report, pieces: [{ piece: "j-1/x", try: 1, phase: "running" }] },
+    { ...report, pieces: [{ piece: "j-1/1", try: 1, phase: "dancing" }] },
+    { ...report, pieces: {} },
+  ];
+  for (const body of bad) assert.equal(decodeReport(body, directory), null, JSON.stringify(body));
+});
+
+test("answers from outside that make no sense count as none", () => {
+  const txn = { t: "txn", conditions: [], changes: [] } as const;
+  assert.equal(decodeStateAnswer(txn, 200, { ledger: "x" }).t, "silent");
+  assert.equal(decodeStateAnswer(txn, 409, {}).t, "silent");
+  assert.equal(decodeStateAnswer(txn, 503, {}).t, "refused");
+  assert.equal(decodeStateAnswer({ t: "get", key: "a" }, 200, undefined).t, "silent");
+  const hire = { t: "hire", request: "r", type: "t", zone: "z", spot: false, count: 1 } as const;
+  assert.equal(decodeCloudAnswer(hire, 503, { error: "no capacity" }).t, "no_capacity");
+  assert.equal(decodeCloudAnswer(hire, 503, { error: "trouble" }).t, "refused");
+  assert.equal(decodeCloudAnswer(hire, 200, { hosts: 5 }).t, "silent");
+  assert.equal(decodeCloudAnswer({ t: "list", after: null }, 200, { hosts: [{}] }).t, "silent");
+});
+
+class FakeDesk implements Desk {
+  ready = true;
+  overloaded = false;
+  asked: unknown[] = [];
+  submit(uid: string, spec: JobSpec | string, then: Parameters<Desk["submit"]>[2]): void {
+    this.asked.push(uid);
+    if (typeof spec === "string") then({ t: "malformed", error: spec });
+    else then({ t: "accepted", known: false, view: { uid, phase: "queued", done: 0, running: 0 } });
+  }
+  poll(_uid: string, then: Parameters<Desk["poll"]>[1]): void {
+    then({ t: "later", error: "no answer", afterS: 2 });
+  }
+  cancel(_uid: string, then: Parameters<Desk["cancel"]>[1]): void {
+    then({ t: "unknown" });
+  }
+  admin(ask: AdminAsk, then: Parameters<Desk["admin"]>[1]): void {
+    then(ask.t === "change" ? { t: "bad", error: "move_low: wrong" } : { t: "ok", body: {} });
+  }
+  report(): boolean {
+    return false;
+  }
+  metrics(): Promise<{ type: string; text: string }> {
+    return Promise.resolve({ type: "text/plain", text: "" });
+  }
+}
+
+test("the API answers bad input with 4xx at no cost, and sheds what it can't take at once", async () => {
+  const desk = new FakeDesk();
+  const server = createServer(desk, 100);
+  await new Promise<void>((listening) => server.listen(0, "127.0.0.1", listening));
+  const { port } = server.address() as AddressInfo;
+  const ask = async (method: string, path: string, body?: string) => {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, { method, body: body ?? null });
+    return {
+      status: response.status,
+      after: response.headers.get("retry-after"),
+      body: await response.text(),
+    };
+  };
+  try {
+    assert.equal((await ask("POST", "/api/jobs", JSON.stringify(JOB))).status, 201);
+    const cases: [string, string, string | undefined, number][] = [
+      ["POST", "/api/jobs", "{", 400],
+      ["POST", "/api/jobs", "[]", 400],
+      ["POST", "/api/jobs", undefined, 400],
+      ["POST", "/api/jobs", JSON.stringify({ ...JOB, pieces: "two" }), 400],
+      ["POST", "/api/jobs", `"${"x".repeat(70_000)}"`, 413],
+      ["GET", "/api/jobs/%E0%A4%A", undefined, 400],
+      ["GET", "/api/jobs/nonsense", undefined, 404],
+      ["POST", "/api/jobs/j-5/cancel", undefined, 404],
+      ["POST", "/agent/beat", "{}", 400],
+      ["GET", "/nowhere", undefined, 404],
+      ["PATCH", "/admin/settings", "[]", 400],
+      ["PATCH", "/admin/settings", '{"move_low":9}', 400],
+      ["PUT", "/admin/machines/i-1", '{"mode":"explode"}', 400],
+    ];
+    for (const [method, path, body, status] of cases) {
+      const answer = await ask(method, path, body);
+      assert.equal(answer.status, status, `${method} ${path} ${body?.slice(0, 40)}`);
+      assert.ok("error" in JSON.parse(answer.body));
+    }
+    const later = await ask("GET", "/api/jobs/j-1");
+    assert.deepEqual([later.status, later.after], [503, "2"]);
+    desk.overloaded = true;
+    const before = desk.asked.length;
+    const shed = await ask("POST", "/api/jobs", JSON.stringify(JOB));
+    assert.equal(shed.status, 503);
+    assert.ok(Number(shed.after) > 0);
+    assert.equal(desk.asked.length, before);
+    desk.ready = false;
+    assert.equal((await ask("GET", "/ready")).status, 503);
+  } finally {
+    server.close();
+    server.closeAllConnections();
+  }
+});
