--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -110,13 +110,19 @@
     const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * Math.sqrt(likely));
     this.#scheduler.leaveRoom(type.name, kind.need, spare);
     let waiting = 0;
+    // What the hirer would rent for small work is not given back while such work waits: that was a wheel of
+    // spot machines hired, charged their minute, and returned.
     let wanted = false;
+    let wantedSpot = false;
     for (const { job, count } of this.#scheduler.blocked) {
       if (!suits(job, type)) continue;
       if (job.spec.need.gpu > 0) waiting += Math.ceil(count / times(job.spec.need, type.size));
-      else wanted ||= !this.tooDear(job, type, false);
+      else {
+        wanted ||= !this.tooDear(job, type, false);
+        wantedSpot ||= job.spec.spot && !this.tooDear(job, type, true);
+      }
     }
-    const free = machines.filter((m) => !busy(m) && m.phase === "up");
+    const free = machines.filter((m) => !busy(m) && m.phase === "up" && !(m.spot && wantedSpot));
     const most = this.mostAtOnce(type);
     const inUse = Math.min(most, machines.filter(busy).length + waiting);
     const wantedNow = Math.min(most, inUse + spare);
