Attempts counted anew under each token; dead fields removed; final figures

A reign of a million attempts would have stopped starting tasks: the counter went on across raised tokens.

--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -84,7 +84,6 @@
   #list(): void {
     this.#listing = true;
     this.#listedAt = this.#ctx.now;
-    const asked = this.#ctx.now;
     const found: ListedMachine[] = [];
     const next = (after: string | null) => {
       this.#ctx.cloud({ t: "list", after }, (answer) => {
@@ -97,7 +96,7 @@
         if (answer.more && last) next(last.name);
         else {
           this.#listing = false;
-          this.#listed(found, asked);
+          this.#listed(found);
         }
       });
     };
@@ -105,7 +104,7 @@
   }
 
   /** The list lags and may step back: it adds machines, but its silence proves nothing by itself. */
-  #listed(found: readonly ListedMachine[], asked: number): void {
+  #listed(found: readonly ListedMachine[]): void {
     const { now } = this.#ctx;
     this.#listedOnce = true;
     for (const listed of found) {
@@ -114,8 +113,6 @@
       // An old list may still show a machine that has been released; one that answers nothing is released again.
       if (!known && this.#tables.released.has(listed.name)) continue;
       const machine = known ?? this.#tables.machine(listed.name, listed, now - listed.ageS * 1000);
-      machine.listed = true;
-      machine.listedAt = asked;
       if (listed.phase === "failed" && machine.phase !== "releasing") this.#giveUp(machine, "it failed");
     }
     for (const [name, at] of this.#tables.released) {
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -79,9 +79,7 @@
 const modesRecord = v.record(v.string(), v.picklist(["cordon", "drain"]));
 
 export type JobRecord = { state: "active" | "cancelled"; acceptedAt: number; spec: JobSpec };
-export type FinalRecord = v.InferOutput<typeof finalRecord>;
 export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
-export type MachineRecord = v.InferOutput<typeof machineRecord>;
 export type LeaderRecord = v.InferOutput<typeof leaderRecord>;
 export type MoveRecord = v.InferOutput<typeof moveRecord>;
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -45,6 +45,7 @@
   readonly #reserved = new Map<Machine, Reservation>();
   readonly #preempting = new Map<Job, number>();
   #counter = 0;
+  #counterToken = 0;
   /** Where an interrupted round goes on. */
   #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
   /** Work of the last full round that found no place. */
@@ -362,7 +363,8 @@
       if (spread) n = Math.min(n, zoneCap - job.inZone(machine.zone));
       for (; n > 0; n--) {
         const task = job.nextPending();
-        if (task === null || !this.#place(job, task, machine, this.#attempt())) return placed;
+        if (task === null || !this.#hasAttempts()) return placed;
+        this.placeAt(job, task, machine);
         placed++;
       }
     }
@@ -392,27 +394,31 @@
       cost += free * ZONE_FILL_S;
       if (slots.length >= tasks && (best === null || cost < best.cost)) best = { slots, cost };
     }
-    if (!best || !countersLeft(this.#counter + 1)) return false;
+    if (!best || !this.#hasAttempts()) return false;
     const attempt = this.#attempt();
     this.#awaited.delete(job);
     for (const machine of best.slots) {
       const task = job.nextPending();
-      if (task !== null) this.#place(job, task, machine, attempt);
+      if (task !== null) this.placeAt(job, task, machine, attempt);
     }
     return true;
   }
 
+  /** Attempts are counted anew under each token, so that a long reign never runs out of them. */
+  #hasAttempts(): boolean {
+    if (this.#counterToken !== this.#reign.token) {
+      this.#counterToken = this.#reign.token;
+      this.#counter = 0;
+    }
+    return countersLeft(this.#counter + 1);
+  }
+
   #attempt(): number {
+    if (!this.#hasAttempts()) throw new RangeError("no attempts are left under this token");
     this.#counter++;
     return attemptOf(this.#reign.token, this.#counter);
   }
 
-  #place(job: Job, task: number, machine: Machine, attempt: number): boolean {
-    if (!countersLeft(this.#counter)) return false;
-    this.placeAt(job, task, machine, attempt);
-    return true;
-  }
-
   /** Puts a task on a machine in the tables and has it recorded; it is started once that is done. */
   placeAt(job: Job, task: number, machine: Machine, attempt = this.#attempt()): Placement {
     const placement: Placement = {
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -174,15 +174,12 @@
   blockedUntil = 0;
   failures = 0;
   readonly failedJobs = new Set<number>();
-  recordVersion = 0;
   recorded = false;
   doInFlight = false;
   doRetryAt = 0;
   wantsDo = false;
   releaseRetryAt = 0;
   releaseWhy: string | null = null;
-  listed = false;
-  listedAt: number;
 
   constructor(
     ix: number,
@@ -197,7 +194,6 @@
     this.zone = at.zone;
     this.spot = at.spot;
     this.bootingSince = now;
-    this.listedAt = now;
   }
 
   room(): Amount {
