--- a/test/bench.ts
+++ b/test/bench.ts
@@ -44,6 +44,8 @@
   readonly unanswered: { id: number; machine: string }[] = [];
   readonly cloudCalls: CloudCall[] = [];
   readonly faults: string[] = [];
+  /** The nodes that reports were passed on to. */
+  readonly relays: string[] = [];
   /** What the state service does with a call; null answers for real. */
   stateRule: ((call: StateCall) => StateAnswer | "hang" | null) | null = null;
   hung: { id: number; call: StateCall }[] = [];
@@ -106,8 +108,10 @@
         case "log":
           if (effect.level === "error") this.faults.push(effect.text);
           break;
-        case "peerReportAnswer":
         case "relay":
+          this.relays.push(effect.to);
+          break;
+        case "peerReportAnswer":
         case "peerSend":
           break;
         default:
@@ -203,6 +207,10 @@
     return this.#reports.get(req);
   }
 
+  answered(req: number): ReportAnswer | undefined {
+    return this.#reports.get(req);
+  }
+
   /** Answers every direct command under way to this machine with a report. */
   answerDo(name: string, said: readonly Said[] = [], more: Partial<Report> = {}): void {
     for (const entry of this.unanswered.splice(0)) {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -137,6 +137,26 @@
   assert.ok(stop?.op === "stop" && stop.graceS >= 2);
 });
 
+test("on a notice what can save is stopped in time to do so, and nothing new is given to the machine", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  const spot = { A: { spot: true } };
+  b.report("A", [], spot.A);
+  b.submit(job("j-1", { spot: true, checkpointS: 5, saveS: 2 }));
+  b.submit(job("j-2", { spot: true }));
+  settle(b, held, spot);
+  b.report("A", live(held, "A"), { ...spot.A, noticeS: 12 });
+  b.pass(200);
+  const stops = b.sent.flatMap((s) => s.orders).filter((o) => o.op === "stop");
+  assert.deepEqual(
+    stops.map((o) => [o.uid, o.op === "stop" && o.graceS >= 2]),
+    [["j-1", true]],
+  );
+  b.submit(job("j-3", { spot: true }));
+  b.pass(500);
+  assert.deepEqual(b.starts("j-3"), []);
+});
+
 test("a round that has used its time goes on where it stopped", () => {
   const b = new Bench().lead();
   const held = new Map<string, Said[]>([
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -352,3 +352,24 @@
   b.pass(5000);
   assert.equal(b.core.leadership.reign, null);
 });
+
+test("a follower sends a worker to the leader, and passes its reports on if it comes back; it never answers itself", () => {
+  const { b: leader } = running();
+  const b = new Bench("n1", leader.state);
+  b.now = leader.now;
+  b.pass(500);
+  b.give({ t: "peerLink", node: "n0", up: true });
+  assert.deepEqual(b.report("C"), { t: "elsewhere", node: "n0" });
+  assert.equal(b.report("C"), undefined, "no answer of its own");
+  assert.deepEqual(b.relays, ["n0"]);
+});
+
+test("a follower without a leader holds a report for a while, then sends the worker to the next node", () => {
+  const b = new Bench("n1");
+  b.stateRule = () => ({ t: "refused", why: "" });
+  b.give({ t: "report", req: 77, report: b.makeReport("C"), raw: null });
+  b.pass(1000);
+  assert.equal(b.answered(77), undefined);
+  b.pass(1500);
+  assert.deepEqual(b.answered(77), { t: "elsewhere", node: null });
+});
