A hire request without an answer is repeated under its name

It may have been carried out; its machines were found by list and report only, and rented twice over.

--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -15,6 +15,8 @@
 const RELEASE_RETRY_MS = 3000;
 /** Backlogs of arrays are given machines enough to work them off in about this time. */
 const DRAIN_S = 45;
+const HIRE_TRIES = 3;
+const HIRE_RETRY_MS = 1000;
 const SPOT_RISK = 1.25;
 const MIN_CHARGE_MS = 60_000;
 
@@ -24,6 +26,13 @@
   readonly spot: boolean;
 }
 
+interface Hire {
+  readonly offer: Offer;
+  readonly count: number;
+  readonly request: string;
+  readonly tries: number;
+}
+
 /** Rents machines for what finds no place, and gives back what is idle, stuck or broken. */
 export class Hirer {
   readonly #ctx: Context;
@@ -36,6 +45,8 @@
   readonly #hiring = new Map<string, number>();
   readonly #stock: Stock;
   readonly #typesRead: (types: readonly MachineType[]) => void;
+  /** Requests that got no answer, to be repeated under their names. */
+  readonly #unanswered: { at: number; hire: Hire }[] = [];
   #requests = 0;
   #listing = false;
   #listedAt = Number.NEGATIVE_INFINITY;
@@ -70,6 +81,7 @@
     this.#stock.tick();
     this.#watchMachines();
     if (!confirmed) return;
+    this.#askAgain();
     this.#release();
     if (this.#listedOnce && this.#tables.types.size > 0) this.#hire();
   }
@@ -376,10 +388,21 @@
     // The token and a counter: a name that no other leader, nor this one, ever uses again.
     const request = `r-${this.#reign.firstToken}-${++this.#requests}`;
     this.#hiring.set(key, count);
+    this.#ask({ offer, count, request, tries: HIRE_TRIES });
+  }
+
+  #ask(hire: Hire): void {
+    const { offer, count, request } = hire;
     const { type, zone, spot } = offer;
+    const key = keyOf(offer);
     this.#ctx.cloud({ t: "hire", request, type: type.name, zone, spot, count }, (answer) => {
-      this.#hiring.delete(key);
       const { now } = this.#ctx;
+      if (answer.t === "silent" && hire.tries > 1) {
+        // It may have been carried out: under the same name it rents nothing more, and tells what it rented.
+        this.#unanswered.push({ at: now + HIRE_RETRY_MS, hire: { ...hire, tries: hire.tries - 1 } });
+        return;
+      }
+      this.#hiring.delete(key);
       if (answer.t === "hired") {
         this.#ctx.log("info", "machines hired", {
           type: type.name,
@@ -401,6 +424,13 @@
     });
   }
 
+  #askAgain(): void {
+    for (const entry of this.#unanswered.splice(0)) {
+      if (entry.at <= this.#ctx.now) this.#ask(entry.hire);
+      else this.#unanswered.push(entry);
+    }
+  }
+
   #refuse(key: string): void {
     const waitMs = Math.min(REFUSED_MAX_MS, (this.#refused.get(key)?.waitMs ?? REFUSED_MS / 2) * 2);
     this.#refused.set(key, { until: this.#ctx.now + waitMs, waitMs });
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -211,6 +211,21 @@
   assert.ok(quiet.cloudCalls.some((c) => c.t === "release" && c.machines.includes("A")));
 });
 
+test("a hire request without an answer is repeated under its name, and no other is made for it meanwhile", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  const rest = b.cloudRule;
+  b.cloudRule = (call) => (call.t === "hire" ? { t: "silent" } : rest(call));
+  b.submit(job("j-1", { tasks: 8, estimateS: 200, zone: "a", types: ["small"] }));
+  b.pass(1800);
+  const names = b.cloudCalls.flatMap((c) => (c.t === "hire" ? [c.request] : []));
+  assert.equal(names.length, 2);
+  assert.equal(new Set(names).size, 1);
+  b.cloudRule = (call) => (call.t === "hire" ? { t: "hired", machines: ["H"] } : rest(call));
+  b.pass(1500);
+  assert.ok([...(b.core.reign?.tables.machines.values() ?? [])].some((m) => m.name === "H"));
+});
+
 test("operators' settings: stored, effective at once, and nothing changes on a bad value", () => {
   const b = new Bench().lead();
   assert.equal(b.admin({ t: "change", values: { move_low: 2 } })?.t, "bad");
