Rounds in proportion to what changed, machines recorded many to a key

Cause, from a processor profile of a leader against stand-ins (342 machines, 2,400 tasks): 47% of its time went into rounds, most of it into looking for lesser work to stop, again and again for the same jobs; each machine's own record took 342 of the first writes at 28 a second; done marks rode along with every start. Now a round asks the machines once, an equal or larger demand is not looked for again within it, an unchanged report costs a comparison, and 48 machines share a key.

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -16,7 +16,7 @@
   leader_grant_ms: v.optional(whole(1000, 60_000), 3000),
   hold_s: v.optional(number(0, 600), 30),
   round_budget_ms: v.optional(number(1, 1000), 20),
-  max_machines: v.optional(whole(0, 10_000), 200),
+  max_machines: v.optional(whole(0, 10_000), 2000),
   idle_s: v.optional(number(5, 86_400), 40),
   spare_window_s: v.optional(number(1, 3600), 120),
   spare_factor: v.optional(number(0, 10), 1.5),
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -71,7 +71,6 @@
     } else {
       machine.doRetryAt = this.#ctx.now + DO_RETRY_MS;
     }
-    if (machine.wantsDo) this.#wanting.add(machine);
   }
 
   /** Takes in a report; what it says counts only if it is newer than what is known. */
@@ -110,8 +109,10 @@
       }
       machine.noticeUntil = now + report.noticeS * 1000;
     }
+    const before = machine.report;
     machine.report = report;
-    if (this.loaded) this.reconcile(machine);
+    // Most reports of a large fleet say what the last one said: they cost no more than the comparison.
+    if (this.loaded && !(before && saysTheSame(before, report))) this.reconcile(machine);
     return machine;
   }
 
@@ -313,18 +314,16 @@
 
   /** Sends what there is for this machine directly, at the end of this batch. */
   want(machine: Machine): void {
-    machine.wantsDo = true;
     this.#wanting.add(machine);
   }
 
   sendWanted(): void {
     const { now } = this.#ctx;
     for (const machine of this.#wanting) {
+      // Those that wait for an answer or for another try stay in the set.
+      if (machine.doInFlight || now < machine.doRetryAt) continue;
       this.#wanting.delete(machine);
-      if (machine.doInFlight || now < machine.doRetryAt || machine.phase !== "up" || machine.session === 0) {
-        continue;
-      }
-      machine.wantsDo = false;
+      if (machine.phase !== "up" || machine.session === 0) continue;
       const orders = this.#ordersFor(machine);
       if (orders.length > 0) this.#sendDo(machine, machine.session, orders);
     }
@@ -371,7 +370,6 @@
       if (machine.phase !== "booting" && !machine.lost && now >= this.#leaseOverAt(machine)) {
         this.dropAll(machine, "its lease is over");
       }
-      if (machine.wantsDo) this.#wanting.add(machine);
     }
   }
 
@@ -385,3 +383,19 @@
     this.#events.changed();
   }
 }
+
+/** True if a report tells nothing that the one before did not tell. */
+function saysTheSame(before: Report, { session, token, tasks }: Report): boolean {
+  if (before.session !== session || before.token !== token || before.tasks.length !== tasks.length)
+    return false;
+  return tasks.every((entry, i) => {
+    const other = before.tasks[i];
+    return (
+      other !== undefined &&
+      other.job === entry.job &&
+      other.task === entry.task &&
+      other.attempt === entry.attempt &&
+      other.state === entry.state
+    );
+  });
+}
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -212,7 +212,7 @@
         this.#ctx.log("info", "machine released", { machine: machine.name, why: machine.releaseWhy });
         this.#fleet.dropAll(machine, "released");
         this.#tables.released.set(machine.name, this.#ctx.now);
-        if (machine.recorded) this.#recorder.machineGone(machine.name);
+        this.#recorder.machineGone(machine);
         this.#tables.removeMachine(machine);
       }
     });
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,16 +1,28 @@
 import type { Context } from "./context.js";
 import type { Reigning } from "./leadership.js";
-import { CHUNK_TASKS, type ChunkRecord, KEYS, type MoveRecord, toRanges } from "./records.js";
+import {
+  BUCKET_MACHINES,
+  type BucketRecord,
+  CHUNK_TASKS,
+  type ChunkRecord,
+  KEYS,
+  type MoveRecord,
+  toRanges,
+} from "./records.js";
 import type { Job, Machine, Placement, Tables } from "./tables.js";
 import type { StateChange, StateCondition } from "./types.js";
 
 const CALL_MS = 1500;
 const RETRY_MS = 200;
 /** Done marks wait this long for other writes to ride along with. */
-const LAZY_MS = 1500;
+const LAZY_MS = 3000;
+/** Then they are as pressing as any other write: until they are on record ended attempts can't be cleared. */
+const LAZY_MAX_MS = 8000;
+/** What part of a transaction is kept for jobs that are over: users wait to be told. */
+const FINALS_PART = 3;
 const TXN_BYTES = 48 * 1024;
 /** The leader's part of the write limit; the rest is left to submissions and cancellations. */
-const SHARE = 0.7;
+const SHARE = 0.8;
 
 interface DirtyChunk {
   readonly job: Job;
@@ -28,12 +40,19 @@
   deposed(why: string): void;
 }
 
+interface Bucket {
+  readonly index: number;
+  readonly machines: Set<Machine>;
+  version: number;
+  dirty: boolean;
+}
+
 interface Batch {
   readonly conditions: StateCondition[];
   readonly changes: StateChange[];
   readonly chunks: DirtyChunk[];
   readonly placements: Placement[];
-  readonly machines: Machine[];
+  readonly buckets: Bucket[];
   readonly finals: Job[];
   readonly removed: string[];
   move: { readonly value: MoveRecord | null; readonly then: () => void } | null;
@@ -53,6 +72,7 @@
   readonly #chunks = new Map<string, DirtyChunk>();
   readonly #finals = new Set<Job>();
   readonly #gone = new Set<string>();
+  readonly #buckets: Bucket[] = [];
   #move: { value: MoveRecord | null; then: () => void } | null = null;
   #busy = false;
   #retryAt = 0;
@@ -90,8 +110,44 @@
     this.#finals.add(job);
   }
 
-  machineGone(name: string): void {
-    this.#gone.add(KEYS.machine(name));
+  machineGone(machine: Machine): void {
+    const bucket = machine.bucket === null ? undefined : this.#buckets[machine.bucket];
+    if (bucket?.machines.delete(machine)) bucket.dirty = true;
+  }
+
+  /** Takes over a record of machines that an earlier leader wrote. */
+  inheritBucket(index: number, machines: readonly Machine[], version: number): void {
+    for (let i = this.#buckets.length; i <= index; i++) this.#bucket(i);
+    const bucket = this.#bucket(index);
+    bucket.version = version;
+    for (const machine of machines) {
+      bucket.machines.add(machine);
+      machine.bucket = index;
+    }
+  }
+
+  #bucket(index: number): Bucket {
+    this.#buckets[index] ??= { index, machines: new Set(), version: 0, dirty: false };
+    return this.#buckets[index];
+  }
+
+  /** The record that a machine's first placement is written with; its neighbours of the same start ride along. */
+  #bucketFor(machine: Machine): Bucket {
+    const known = machine.bucket === null ? undefined : this.#buckets[machine.bucket];
+    if (known) return known;
+    const open = this.#buckets.find((bucket) => bucket.machines.size < BUCKET_MACHINES);
+    const bucket = open ?? this.#bucket(this.#buckets.length);
+    const add = (other: Machine) => {
+      bucket.machines.add(other);
+      other.bucket = bucket.index;
+    };
+    add(machine);
+    for (const other of this.#tables.machines.values()) {
+      if (bucket.machines.size >= BUCKET_MACHINES) break;
+      if (other.bucket === null && other.phase === "up" && other.address !== "") add(other);
+    }
+    bucket.dirty = true;
+    return bucket;
   }
 
   /** Removes what an earlier leader left behind. */
@@ -141,7 +197,7 @@
       changes: [],
       chunks: [],
       placements: [],
-      machines: [],
+      buckets: [],
       finals: [],
       removed: [],
       move: null,
@@ -153,26 +209,43 @@
       const { value } = batch.move;
       batch.changes.push(value ? { put: KEYS.move, value } : { remove: KEYS.move });
     }
-    const urgent = [...this.#chunks.values()].sort(
-      (a, b) => b.job.spec.priority - a.job.spec.priority || a.since - b.since,
-    );
-    const anyUrgent = urgent.some((dirty) => dirty.urgent);
+    // Starts first, with room left for what users wait to be told, then done marks whose time has come. Done marks
+    // used to ride along with any start: at the grown sizes they took the writes that starts were waiting for.
+    const { now } = this.#ctx;
+    const urgent: DirtyChunk[] = [];
+    const lazy: DirtyChunk[] = [];
+    for (const dirty of this.#chunks.values()) {
+      if (dirty.urgent || now - dirty.since >= LAZY_MAX_MS) urgent.push(dirty);
+      else if (now - dirty.since >= LAZY_MS) lazy.push(dirty);
+    }
+    urgent.sort((a, b) => b.job.spec.priority - a.job.spec.priority || a.since - b.since);
     const jobs = new Set<Job>();
+    const forFinals = Math.min(this.#finals.size * 2, Math.ceil(room / FINALS_PART));
     for (const dirty of urgent) {
-      if (!dirty.urgent && !anyUrgent && this.#ctx.now - dirty.since < LAZY_MS) continue;
-      if (batch.bytes > TXN_BYTES || !this.#addChunk(batch, dirty, room, jobs)) break;
+      if (batch.bytes > TXN_BYTES || !this.#addChunk(batch, dirty, room - forFinals, jobs)) break;
     }
     for (const job of this.#finals) {
       if (batch.changes.length + 2 > room || batch.bytes > TXN_BYTES) break;
       if (jobs.has(job)) continue;
       this.#addFinal(batch, job);
     }
+    for (const dirty of lazy) {
+      if (batch.bytes > TXN_BYTES || !this.#chunks.has(KEYS.chunk(dirty.job.uid, dirty.chunk))) continue;
+      if (!this.#addChunk(batch, dirty, room, jobs)) break;
+    }
     for (const key of this.#gone) {
       if (batch.changes.length >= room) break;
       batch.changes.push({ remove: key });
       batch.removed.push(key);
       this.#gone.delete(key);
     }
+    if (batch.changes.length > 0) {
+      // Machines that are gone are struck off when there is something else to write.
+      for (const bucket of this.#buckets) {
+        if (batch.changes.length >= room || batch.bytes > TXN_BYTES) break;
+        if (bucket.dirty && !batch.buckets.includes(bucket)) this.#addBucket(batch, bucket);
+      }
+    }
     return batch;
   }
 
@@ -182,30 +255,22 @@
     const last = Math.min(job.spec.tasks, first + CHUNK_TASKS) - 1;
     const held: [number, string, number, number][] = [];
     const placements: Placement[] = [];
-    const machines = new Set<Machine>();
+    const buckets = new Set<Bucket>();
     for (let task = first; task <= last; task++) {
       const placement = job.held.get(task);
       if (!placement) continue;
       placements.push(placement);
       held.push([task, placement.machine.name, placement.session, placement.attempt]);
-      if (!placement.machine.recorded && !batch.machines.includes(placement.machine)) {
-        machines.add(placement.machine);
-      }
+      const bucket = this.#bucketFor(placement.machine);
+      if (bucket.dirty && !batch.buckets.includes(bucket)) buckets.add(bucket);
     }
-    if (batch.changes.length + 1 + machines.size > room) return false;
+    if (batch.changes.length + 1 + buckets.size > room) return false;
     const key = KEYS.chunk(job.uid, chunk);
     this.#chunks.delete(key);
     const done: number[] = [];
     for (let task = first; task <= last; task++) if (job.isDone(task)) done.push(task);
     const value: ChunkRecord = { held, done: toRanges(done) };
-    for (const machine of machines) {
-      const { address, typeName, zone, spot } = machine;
-      batch.changes.push({
-        put: KEYS.machine(machine.name),
-        value: { address, type: typeName, zone, spot },
-      });
-      batch.machines.push(machine);
-    }
+    for (const bucket of buckets) this.#addBucket(batch, bucket);
     const starts = placements.some((placement) => !placement.durable);
     // A start depends on the job not having been cancelled since.
     if (starts && !jobs.has(job)) {
@@ -220,6 +285,19 @@
     return true;
   }
 
+  #addBucket(batch: Batch, bucket: Bucket): void {
+    const key = KEYS.bucket(bucket.index);
+    const value: BucketRecord = {
+      machines: [...bucket.machines].map((m) => [m.name, m.address, m.typeName, m.zone, m.spot]),
+    };
+    batch.conditions.push({ key, version: bucket.version });
+    batch.changes.push({ put: key, value });
+    batch.buckets.push(bucket);
+    batch.bytes += 100 + bucket.machines.size * 90;
+    // What is added while this is under way makes it dirty again.
+    bucket.dirty = false;
+  }
+
   #addFinal(batch: Batch, job: Job): void {
     this.#finals.delete(job);
     batch.finals.push(job);
@@ -235,7 +313,7 @@
 
   #succeeded(batch: Batch, revision: number): void {
     for (const { job, chunk } of batch.chunks) job.chunkVersions.set(chunk, revision);
-    for (const machine of batch.machines) machine.recorded = true;
+    for (const bucket of batch.buckets) bucket.version = revision;
     for (const placement of batch.placements) placement.durable = true;
     batch.move?.then();
     if (batch.placements.length > 0) this.#events.recorded(batch.placements);
@@ -254,6 +332,7 @@
     }
     for (const job of batch.finals) this.#finals.add(job);
     for (const key of batch.removed) this.#gone.add(key);
+    for (const bucket of batch.buckets) bucket.dirty = true;
     if (batch.move && !this.#move) this.#move = batch.move;
   }
 
@@ -264,11 +343,22 @@
     }
     this.#putBack(batch);
     // Chunks may differ because an earlier, unanswered write of ours was executed: take the new version.
-    const chunks = batch.chunks.filter(({ job, chunk }) => failed.includes(KEYS.chunk(job.uid, chunk)));
+    const stale: { key: string; take: (version: number) => void }[] = [];
+    for (const { job, chunk } of batch.chunks) {
+      const key = KEYS.chunk(job.uid, chunk);
+      if (failed.includes(key)) stale.push({ key, take: (version) => job.chunkVersions.set(chunk, version) });
+    }
+    for (const bucket of batch.buckets) {
+      const key = KEYS.bucket(bucket.index);
+      const take = (version: number) => {
+        bucket.version = version;
+      };
+      if (failed.includes(key)) stale.push({ key, take });
+    }
     const jobs = new Set<Job>();
     for (const { job } of batch.chunks) if (failed.includes(KEYS.job(job.uid))) jobs.add(job);
     for (const job of batch.finals) if (failed.includes(KEYS.job(job.uid))) jobs.add(job);
-    let waiting = chunks.length;
+    let waiting = stale.length;
     const done = () => {
       this.#busy = false;
       this.#retryAt = this.#ctx.now;
@@ -285,11 +375,11 @@
       done();
       return;
     }
-    for (const { job, chunk } of chunks) {
-      this.#ctx.state({ t: "get", key: KEYS.chunk(job.uid, chunk) }, CALL_MS, (answer) => {
+    for (const { key, take } of stale) {
+      this.#ctx.state({ t: "get", key }, CALL_MS, (answer) => {
         if (this.over) return;
-        if (answer.t === "item") job.chunkVersions.set(chunk, answer.item.version);
-        else if (answer.t === "absent") job.chunkVersions.delete(chunk);
+        if (answer.t === "item") take(answer.item.version);
+        else if (answer.t === "absent") take(0);
         if (--waiting === 0) done();
       });
     }
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -4,7 +4,8 @@
 /**
  * The durable records and their keys. Values carry names, never indices: they outlive every process.
  *   c/…  leader, epoch, operators' settings, machine types, the pending move: followed by every node
- *   j/…  jobs that are not over, f/… jobs that are, p/… placements in chunks, m/… machines
+ *   j/…  jobs that are not over, f/… jobs that are, p/… placements in chunks, m/… machines, many to a key:
+ *   one by one they took a fleet's worth of writes before anything could start
  */
 export const KEYS = {
   config: "c/",
@@ -17,10 +18,13 @@
   job: (uid: string) => `j/${uid}`,
   final: (uid: string) => `f/${uid}`,
   chunk: (uid: string, chunk: number) => `p/${uid}/${chunk}`,
-  machine: (name: string) => `m/${name}`,
+  machines: "m/",
+  bucket: (bucket: number) => `m/${bucket}`,
 } as const;
 
-export const CHUNK_TASKS = 64;
+/** So many tasks and machines fit the smallest values allowed (8 KiB) with names of ordinary length. */
+export const CHUNK_TASKS = 128;
+export const BUCKET_MACHINES = 48;
 
 const amount = v.object({ cpu: v.number(), gpu: v.number(), ram: v.number() });
 const spec = v.object({
@@ -51,11 +55,9 @@
   held: v.array(v.tuple([v.number(), v.string(), v.number(), v.number()])),
   done: v.array(v.tuple([v.number(), v.number()])),
 });
-const machineRecord = v.object({
-  address: v.string(),
-  type: v.string(),
-  zone: v.string(),
-  spot: v.boolean(),
+/** name, address, type, zone, spot */
+const bucketRecord = v.object({
+  machines: v.array(v.tuple([v.string(), v.string(), v.string(), v.string(), v.boolean()])),
 });
 const leaderRecord = v.object({ node: v.string(), incarnation: v.string(), token: v.number() });
 const epochRecord = v.object({ token: v.number() });
@@ -80,6 +82,7 @@
 
 export type JobRecord = { state: "active" | "cancelled"; acceptedAt: number; spec: JobSpec };
 export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
+export type BucketRecord = v.InferOutput<typeof bucketRecord>;
 export type LeaderRecord = v.InferOutput<typeof leaderRecord>;
 export type MoveRecord = v.InferOutput<typeof moveRecord>;
 
@@ -93,7 +96,7 @@
 export const readJob: (value: unknown) => JobRecord | null = reader(jobRecord);
 export const readFinal = reader(finalRecord);
 export const readChunk = reader(chunkRecord);
-export const readMachine = reader(machineRecord);
+export const readBucket = reader(bucketRecord);
 export const readLeader = reader(leaderRecord);
 export const readEpoch = reader(epochRecord);
 export const readMove = reader(moveRecord);
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -4,9 +4,9 @@
 import type { Leadership, Reigning } from "./leadership.js";
 import { Mover } from "./mover.js";
 import { Recorder } from "./recorder.js";
-import { KEYS, readChunk, readFinal, readJob, readMachine } from "./records.js";
+import { KEYS, readBucket, readChunk, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
-import { type Job, type Placement, Tables } from "./tables.js";
+import { type Job, type Machine, type Placement, Tables } from "./tables.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
 import type { ConfigView } from "./view.js";
 
@@ -14,7 +14,9 @@
 const RETRY_MS = 300;
 const FOLLOW_MS = 10_000;
 const FOLLOW_PAUSE_MS = 200;
-const ROUND_MS = 50;
+const ROUND_MS = 100;
+/** What looks at every machine, whether or not anything happened there, is done this often. */
+const SURVEY_MS = 500;
 const IDLE_ROUND_MS = 1000;
 const PROGRESS_MS = 1000;
 const JOB_BACKOFF_MS = 2000;
@@ -41,6 +43,7 @@
   #followAt = 0;
   #dirty = true;
   #roundAt = 0;
+  #surveyAt = Number.NEGATIVE_INFINITY;
   #progressAt = 0;
   #told = new Map<string, string>();
   #writingTypes = false;
@@ -81,7 +84,7 @@
   /* ---- reading what earlier leaders left ---- */
 
   #load(): void {
-    this.#readAll("m/", (machines) => {
+    this.#readAll(KEYS.machines, (machines) => {
       this.#readAll("p/", (chunks) => {
         this.#readAll("j/", (jobs, revision) => {
           this.#revision = revision;
@@ -121,11 +124,19 @@
   #rebuild(machines: readonly StateItem[], chunks: readonly StateItem[], jobs: readonly StateItem[]): void {
     const { now } = this.#ctx;
     for (const item of machines) {
-      const record = readMachine(item.value);
-      if (!record) continue;
-      const machine = this.tables.machine(item.key.slice("m/".length), record, now);
-      machine.recorded = true;
-      if (machine.phase === "booting") machine.phase = "up";
+      const record = readBucket(item.value);
+      const bucket = Number(item.key.slice(KEYS.machines.length));
+      if (!record || !Number.isInteger(bucket)) {
+        this.#ctx.log("error", "a record can't be read", { key: item.key });
+        continue;
+      }
+      const listed: Machine[] = [];
+      for (const [name, address, type, zone, spot] of record.machines) {
+        const machine = this.tables.machine(name, { address, type, zone, spot }, now);
+        if (machine.phase === "booting") machine.phase = "up";
+        listed.push(machine);
+      }
+      this.recorder.inheritBucket(bucket, listed, item.version);
     }
     for (const item of jobs) this.learnJob(item);
     let held = 0;
@@ -369,11 +380,14 @@
     }
     if (!this.fleet.loaded) return;
     this.#follow();
-    this.fleet.tick();
-    this.#drainNoticed();
-    if (this.over) return;
-    this.hirer.tick(this.#leadership.confirmed);
-    if (this.#leadership.confirmed) this.mover.tick();
+    if (now - this.#surveyAt >= SURVEY_MS) {
+      this.#surveyAt = now;
+      this.fleet.tick();
+      this.#drainNoticed();
+      if (this.over) return;
+      this.hirer.tick(this.#leadership.confirmed);
+      if (this.#leadership.confirmed) this.mover.tick();
+    }
     this.#decide(budget);
     if (now - this.#progressAt >= PROGRESS_MS) this.#tellProgress();
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -17,6 +17,8 @@
 import type { Amount } from "./types.js";
 
 const RESERVE_MS = 15_000;
+/** How long a job for which nothing could be stopped waits before that is looked into again. */
+const SEEK_AGAIN_MS = 500;
 const RECLAIM_MS = 5000;
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
@@ -50,6 +52,11 @@
   #counterToken = 0;
   /** Where an interrupted round goes on. */
   #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
+  /** The machines that can take work, by type, as of this call: a round asks for them once a job. */
+  #open = new Map<string, Machine[]>();
+  /** Demands that found no place in this call: what asks for as much or more need not look again. */
+  #narrowed = false;
+  readonly #vain = new Map<string, { need: Amount; tasks: number }[]>();
   /** Work of the last full round that found no place. */
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
@@ -65,6 +72,7 @@
 
   /** False when the time was spent before the end: call again. */
   round(budget: Budget): boolean {
+    this.#survey();
     const resume = this.#resume ?? { queue: this.#queue(), at: 0 };
     if (this.#resume === null) this.#found = [];
     this.#resume = null;
@@ -82,6 +90,48 @@
     return true;
   }
 
+  #survey(): void {
+    this.#open = new Map();
+    this.#vain.clear();
+    for (const machine of this.#tables.machines.values()) {
+      if (!this.usable(machine)) continue;
+      const list = this.#open.get(machine.typeName);
+      if (list) list.push(machine);
+      else this.#open.set(machine.typeName, [machine]);
+    }
+  }
+
+  /** The kind of place a job asks for: jobs of one kind differ only in how much they need of it. */
+  #kindOf({ spec }: Job): string {
+    const { types, zone, spot, priority, shape, oneZone, spread, checkpointS } = spec;
+    return [
+      types?.join() ?? "*",
+      zone ?? "*",
+      spot,
+      priority,
+      shape,
+      oneZone,
+      spread,
+      checkpointS > 0,
+    ].join();
+  }
+
+  #isVain(job: Job, tasks: number): boolean {
+    if (job.failedOn.size > 0 || job.reservesUntil > this.#ctx.now) return false;
+    const { need } = job.spec;
+    return (this.#vain.get(this.#kindOf(job)) ?? []).some((v) => tasks >= v.tasks && fits(v.need, need));
+  }
+
+  #wasVain(job: Job, tasks: number): void {
+    // What narrows this job's choice alone tells nothing of others: its fellow tasks, its image, its patience.
+    if (this.#narrowed || (job.held.size > 0 && (job.spec.spread || job.spec.oneZone))) return;
+    const kind = this.#kindOf(job);
+    const entry = { need: job.spec.need, tasks };
+    const known = this.#vain.get(kind);
+    if (known) known.push(entry);
+    else this.#vain.set(kind, [entry]);
+  }
+
   #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
@@ -138,9 +188,10 @@
     const { now } = this.#ctx;
     const withinS = waitAimS(this.#ctx, job);
     const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
+    const vain = this.#isVain(job, job.spec.tasks);
     if (leftS > 0) {
       const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
-      if (this.#placeGang(job, quick)) return;
+      if (!vain && this.#placeGang(job, quick)) return;
       if ((job.awaitedUntil ?? 0) > now) return;
       if (
         job.awaitedUntil === null &&
@@ -150,7 +201,11 @@
         return;
       }
     }
-    if (!this.#placeGang(job, () => true)) this.#noPlace(entry, job.spec.tasks);
+    if (!vain) {
+      if (this.#placeGang(job, () => true)) return;
+      this.#wasVain(job, job.spec.tasks);
+    }
+    this.#noPlace(entry, job.spec.tasks);
   }
 
   #noPlace(entry: Blocked, count: number): void {
@@ -175,7 +230,6 @@
     this.#holder = { job, until: now + HOLD_MS };
     const free = new Map<string, Machine[]>();
     for (const machine of this.#candidates(job)) {
-      if (!fits(job.spec.need, machine.room())) continue;
       const list = free.get(machine.zone);
       if (list) list.push(machine);
       else free.set(machine.zone, [machine]);
@@ -193,7 +247,9 @@
 
   #hold(machine: Machine, job: Job, until: number): void {
     const held = machine.reserved;
-    if (!held || held.until <= this.#ctx.now || held.job === job) machine.reserved = { job, until };
+    if (held && held.until > this.#ctx.now && held.job !== job) return;
+    machine.reserved = { job, until };
+    job.reservesUntil = until;
   }
 
   /** How many more tasks of this job its team's limit allows. */
@@ -232,19 +288,29 @@
     );
   }
 
-  #candidates(job: Job): Machine[] {
+  /** Machines with room for a task of the job, if what work below a priority uses is counted as room. */
+  #candidates(job: Job, below = 0): Machine[] {
     const { now } = this.#ctx;
     const found: Machine[] = [];
-    for (const machine of this.#tables.machines.values()) {
-      if (!this.allows(job, machine) || !this.usable(machine)) continue;
-      const held = machine.reserved;
-      if (held) {
-        if (held.until <= now || held.job.pending === 0) machine.reserved = null;
-        else if (held.job !== job && held.job.spec.priority >= job.spec.priority) continue;
+    this.#narrowed = job.spec.shape === "service";
+    for (const list of this.#open.values()) {
+      const type = list[0]?.type;
+      if (!type || !suitsType(job.spec, type)) continue;
+      for (const machine of list) {
+        if (!machine.hasRoom(job.spec.need, below) || !this.allows(job, machine)) continue;
+        const held = machine.reserved;
+        if (held) {
+          if (held.until <= now || held.job.pending === 0) machine.reserved = null;
+          else if (held.job !== job && held.job.spec.priority >= job.spec.priority) continue;
+        }
+        if (this.#wastesGpus(job, machine)) continue;
+        const failedHere = job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2;
+        if (failedHere || this.#slowsFetch(job, machine)) {
+          this.#narrowed = true;
+          continue;
+        }
+        found.push(machine);
       }
-      if (this.#wastesGpus(job, machine) || this.#slowsFetch(job, machine)) continue;
-      if (job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2) continue;
-      found.push(machine);
     }
     return found;
   }
@@ -282,11 +348,21 @@
     if (!this.#inTheWay(job, machine) || job.spec.checkpointS > 0) return false;
     const keep = this.#room.get(machine.typeName);
     if (!keep?.need) return false;
-    let free = 0;
-    for (const other of this.#tables.machines.values()) {
-      if (other.typeName === machine.typeName && this.usable(other) && fits(keep.need, other.room())) free++;
-    }
-    return free <= keep.spare;
+    return this.#freeFor(machine.typeName, keep.need) <= keep.spare;
+  }
+
+  readonly #free = new Map<string, { changes: number; open: Machine[]; count: number }>();
+
+  /** How many machines of a type have room for GPU work; counted anew only after something was placed or gone. */
+  #freeFor(type: string, need: Amount): number {
+    const open = this.#open.get(type) ?? [];
+    const { changes } = this.#tables;
+    const known = this.#free.get(type);
+    if (known && known.changes === changes && known.open === open) return known.count;
+    let count = 0;
+    for (const machine of open) if (machine.hasRoom(need)) count++;
+    this.#free.set(type, { changes, open, count });
+    return count;
   }
 
   /** Fetches share a machine's line: another image would slow the one that a more important gang waits for. */
@@ -318,9 +394,7 @@
   }
 
   #ranked(job: Job): Machine[] {
-    const { need } = job.spec;
     return this.#candidates(job)
-      .filter((machine) => fits(need, machine.room()))
       .map((machine) => ({ machine, score: this.score(job, machine) }))
       .sort((a, b) => a.score - b.score || a.machine.ix - b.machine.ix)
       .map(({ machine }) => machine);
@@ -328,14 +402,21 @@
 
   #placeMany(job: Job, count: number): number {
     const withinS = waitAimS(this.#ctx, job);
-    if (withinS === null) return this.#fill(job, count, () => true);
+    if (withinS === null) return this.#fillAny(job, count);
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
-    let placed = this.#fill(job, count, quick);
+    let placed = this.#isVain(job, 1) ? 0 : this.#fill(job, count, quick);
     if (placed < count && job.spec.priority >= 2) {
       placed += this.#makeRoom(job, count - placed, false, quick, withinS);
     }
-    if (placed < count) placed += this.#fill(job, count - placed, () => true);
+    if (placed < count) placed += this.#fillAny(job, count - placed);
+    return placed;
+  }
+
+  #fillAny(job: Job, count: number): number {
+    if (this.#isVain(job, 1)) return 0;
+    const placed = this.#fill(job, count, () => true);
+    if (placed < count) this.#wasVain(job, 1);
     return placed;
   }
 
@@ -477,9 +558,13 @@
   ): number {
     const { now } = this.#ctx;
     if (job.makingRoomUntil > now) return 0;
+    // What can't be stopped now can hardly be in the next round: looking costs more than all the rest of one.
+    const sinceMs = now - job.roomSoughtAt;
+    if (sinceMs > 0 && sinceMs < SEEK_AGAIN_MS) return 0;
+    job.roomSoughtAt = now;
     const { need, tasks, oneZone, spread, shape } = job.spec;
     const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
-    for (const machine of this.#candidates(job)) {
+    for (const machine of this.#candidates(job, guaranteed ? job.spec.priority + 1 : job.spec.priority)) {
       if (!suits(machine)) continue;
       const plan = this.#plan(job, machine, need, guaranteed);
       if (plan) plans.push({ machine, ...plan });
@@ -507,6 +592,7 @@
       let graceS = 0;
       for (const { machine, victims } of chosen) {
         machine.reserved = { job, until: now + RESERVE_MS };
+        job.reservesUntil = now + RESERVE_MS;
         for (const victim of victims) {
           const { saveS, checkpointS } = victim.job.spec;
           if (hurryS !== null && checkpointS > 0 && saveS > hurryS && victim.job.spec.shape !== "gang") {
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -69,6 +69,10 @@
   doneCount = 0;
   finishing = false;
   blockedSince: number | null = null;
+  /** Some machine's room may be kept for it until then. */
+  reservesUntil = 0;
+  /** When it was last looked into what might be stopped for it, in vain: not again at once. */
+  roomSoughtAt = Number.NEGATIVE_INFINITY;
   /** Room is being made for it: no more lesser work is stopped for it before this time. */
   makingRoomUntil = 0;
   /** A gang: until when it waits for that room where its image is; null if it has not tried. */
@@ -175,6 +179,8 @@
   mode: MachineMode = "open";
   readonly placements = new Set<Placement>();
   used: Amount = ZERO;
+  /** The same by priority. */
+  readonly usedBy: Amount[] = [ZERO, ZERO, ZERO, ZERO];
   /** Room kept for a replica that is about to move here. */
   booked: Amount = ZERO;
   /** Room taken by reported tasks that we have no placement for. */
@@ -190,10 +196,10 @@
   blockedUntil = 0;
   failures = 0;
   readonly failedJobs = new Set<number>();
-  recorded = false;
+  /** The record that lists it, as of the last one written; null if none does. */
+  bucket: number | null = null;
   doInFlight = false;
   doRetryAt = 0;
-  wantsDo = false;
   releaseRetryAt = 0;
   releaseWhy: string | null = null;
 
@@ -212,6 +218,24 @@
     this.bootingSince = now;
   }
 
+  /** True if a task fits beside what is here; what work below a priority uses may be counted as room. */
+  hasRoom(need: Amount, below = 0): boolean {
+    const { used, booked, strayUse } = this;
+    const size = this.type?.size ?? ZERO;
+    let { cpu, gpu, ram } = size;
+    for (let priority = 0; priority < below; priority++) {
+      const part = this.usedBy[priority] ?? ZERO;
+      cpu += part.cpu;
+      gpu += part.gpu;
+      ram += part.ram;
+    }
+    return (
+      need.cpu <= cpu - used.cpu - booked.cpu - strayUse.cpu &&
+      need.gpu <= gpu - used.gpu - booked.gpu - strayUse.gpu &&
+      need.ram <= ram - used.ram - booked.ram - strayUse.ram
+    );
+  }
+
   room(): Amount {
     const size = this.type?.size ?? ZERO;
     return {
@@ -233,6 +257,8 @@
   readonly machines = new Map<number, Machine>();
   readonly teamUse = new Map<string, Amount>();
   readonly types = new Map<string, MachineType>();
+  /** Counts placements that have come and gone: what was worked out before a change may be stale. */
+  changes = 0;
   /** Machines whose release the cloud has confirmed, and when: late lists and reports may still show them. */
   readonly released = new Map<string, number>();
   readonly directory: Directory;
@@ -282,18 +308,22 @@
     const { job, machine } = placement;
     job.hold(placement);
     machine.placements.add(placement);
-    machine.used = add(machine.used, job.spec.need);
+    this.#count(placement, 1);
     machine.idleSince = null;
-    const team = this.teamUse.get(job.spec.team) ?? ZERO;
-    this.teamUse.set(job.spec.team, add(team, job.spec.need));
   }
 
   unplace(placement: Placement): void {
     const { job, machine } = placement;
     if (!machine.placements.delete(placement)) return;
     if (job.held.get(placement.task) === placement) job.letGo(placement.task);
-    machine.used = add(machine.used, job.spec.need, -1);
-    const team = this.teamUse.get(job.spec.team) ?? ZERO;
-    this.teamUse.set(job.spec.team, add(team, job.spec.need, -1));
+    this.#count(placement, -1);
+  }
+
+  #count({ job, machine }: Placement, sign: 1 | -1): void {
+    const { need, priority, team } = job.spec;
+    machine.used = add(machine.used, need, sign);
+    machine.usedBy[priority] = add(machine.usedBy[priority] ?? ZERO, need, sign);
+    this.teamUse.set(team, add(this.teamUse.get(team) ?? ZERO, need, sign));
+    this.changes++;
   }
 }
