Tests of the new guards; a team's limit is kept for an aged gang; counted work of a round

The overload test found that a wide gang never begins while smaller ones of its team take each bit of the team's limit that comes free: what is left of it is now kept for a gang that has waited too long. Work of rounds and reports is counted and bounded by a test with 1,000 machines.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -36,6 +36,8 @@
   readonly #wanting = new Set<Machine>();
   /** False until the records are read: until then reports are answered but not acted on. */
   loaded = false;
+  /** Counts reports that were compared with what is placed: the others said nothing new. */
+  reconciled = 0;
 
   constructor(
     ctx: Context,
@@ -175,6 +177,7 @@
   reconcile(machine: Machine): void {
     const { report } = machine;
     if (!report) return;
+    this.reconciled++;
     const reported = new Map<number, Map<number, ReportedTask>>();
     for (const entry of report.tasks) {
       let tasks = reported.get(entry.job);
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -62,6 +62,8 @@
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
   roundsCut = 0;
+  /** Counts machines looked at for some job: what a round's work is made of. */
+  looked = 0;
 
   constructor(ctx: Context, reign: Reigning, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
@@ -174,7 +176,12 @@
     const allowed = Math.min(most, this.withinLimit(job));
     if (job.spec.shape === "gang") {
       // All tasks at once, and nothing of the former attempt may be left.
-      if (job.held.size > 0 || allowed < job.spec.tasks) return;
+      if (job.held.size > 0) return;
+      if (allowed < job.spec.tasks) {
+        // Smaller jobs would take each bit of the team's limit that comes free, for ever.
+        if (aged) this.#holdLimit(job);
+        return;
+      }
       this.#serveGang(entry);
       return;
     }
@@ -260,11 +267,28 @@
     job.reservesUntil = until;
   }
 
+  /** What is left of a team's limit is kept for an aged gang that needs more of it. */
+  readonly #limitHolders = new Map<string, { job: Job; until: number }>();
+
+  #holdLimit(job: Job): void {
+    const { now } = this.#ctx;
+    const holder = this.#limitHolders.get(job.spec.team);
+    if (holder && holder.job !== job && holder.until > now && holder.job.pending > 0) return;
+    this.#limitHolders.set(job.spec.team, { job, until: now + HOLD_MS });
+  }
+
+  #keptOfLimit(job: Job): Amount {
+    const holder = this.#limitHolders.get(job.spec.team);
+    if (!holder || holder.job === job || job.spec.shape === "service") return ZERO;
+    if (holder.until <= this.#ctx.now || holder.job.pending === 0) return ZERO;
+    return add(ZERO, holder.job.spec.need, holder.job.pending);
+  }
+
   /** How many more tasks of this job its team's limit allows. */
   withinLimit(job: Job): number {
     const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
     if (!team) return 0;
-    const use = this.#tables.teamUse.get(team.name) ?? ZERO;
+    const use = add(this.#tables.teamUse.get(team.name) ?? ZERO, this.#keptOfLimit(job));
     const { need } = job.spec;
     let n = Number.POSITIVE_INFINITY;
     if (need.cpu > 0) n = Math.min(n, Math.floor((team.limit.cpu - use.cpu) / need.cpu));
@@ -306,6 +330,7 @@
     for (const list of this.#open.values()) {
       const type = list[0]?.type;
       if (!type || !suitsType(job.spec, type)) continue;
+      this.looked += list.length;
       for (const machine of list) {
         if (!machine.hasRoom(job.spec.need, below) || !this.allows(job, machine)) continue;
         const held = machine.reserved;
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -37,6 +37,13 @@
       "Rounds that went over their time and were gone on with",
       reign.scheduler.roundsCut,
     );
+    gauge("machines_looked_at_total", "Machines looked at in search of places", reign.scheduler.looked);
+    gauge("reports_compared_total", "Reports that said something new", reign.fleet.reconciled);
+    gauge(
+      "machines_deaf",
+      "Machines that report but do not hear",
+      machines.filter((m) => m.deafSince !== null).length,
+    );
     gauge("moves_total", "Moves begun in this reign", reign.mover.moves);
     gauge("unwritten", "Records that wait to be written", reign.recorder.backlog);
   }
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -59,12 +59,49 @@
   return world;
 }
 
+const NONE: Trouble = {
+  crash: 0,
+  cut: 0,
+  outage: 0,
+  hang: 0,
+  taken: 0,
+  error: 0,
+  deaf: 0,
+  copies: 0,
+  lonely: 0,
+  blink: 0,
+};
+
 export const TROUBLES: Record<string, Trouble> = {
-  quiet: { crash: 0, cut: 0, outage: 0, hang: 0, taken: 0, error: 0 },
-  "crashing controllers": { crash: 0.08, cut: 0, outage: 0, hang: 0, taken: 0, error: 0 },
-  "cuts and outages": { crash: 0, cut: 0.08, outage: 0.02, hang: 0, taken: 0, error: 0 },
-  "failing machines": { crash: 0, cut: 0, outage: 0, hang: 0.08, taken: 0.05, error: 0.001 },
-  everything: { crash: 0.05, cut: 0.05, outage: 0.015, hang: 0.05, taken: 0.03, error: 0.0005 },
+  quiet: NONE,
+  "crashing controllers": { ...NONE, crash: 0.08 },
+  "controllers back at once": { ...NONE, blink: 0.08 },
+  "cuts and outages": { ...NONE, cut: 0.08, outage: 0.02 },
+  "lonely controllers": { ...NONE, lonely: 0.06, blink: 0.02 },
+  "failing machines": { ...NONE, hang: 0.08, taken: 0.05, error: 0.001 },
+  "workers that hear nothing": { ...NONE, deaf: 0.06 },
+  "late copies of reports": { ...NONE, copies: 0.1, crash: 0.03, taken: 0.05 },
+  "the older ones together": {
+    ...NONE,
+    crash: 0.05,
+    cut: 0.05,
+    outage: 0.015,
+    hang: 0.05,
+    taken: 0.03,
+    error: 0.0005,
+  },
+  everything: {
+    crash: 0.03,
+    cut: 0.03,
+    outage: 0.01,
+    hang: 0.03,
+    taken: 0.02,
+    error: 0.0005,
+    deaf: 0.03,
+    copies: 0.05,
+    lonely: 0.02,
+    blink: 0.03,
+  },
 };
 
 for (const [name, trouble] of Object.entries(TROUBLES)) {
@@ -75,6 +112,11 @@
       const world = play(seed, trouble);
       assert.deepEqual(world.violations, [], `seed ${seed}`);
       assert.ok(world.starts > 0, `seed ${seed}: nothing ran`);
+      for (const job of world.jobs.values()) {
+        if (job.acceptedAt === null) continue;
+        const unansweredS = (world.now - job.answeredAt) / 1000;
+        assert.ok(unansweredS < 75, `seed ${seed}: ${job.spec.uid} is forgotten: ${unansweredS} s`);
+      }
       const finishable = [...world.jobs.values()].filter(
         (job) => job.spec.shape !== "service" && job.acceptedAt !== null && !job.cancelAsked,
       );
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { tokenOf } from "../src/core/tables.js";
-import { Bench, job } from "./bench.js";
+import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
 
 function only<T>(list: readonly T[]): T {
@@ -378,3 +378,165 @@
   b.pass(1500);
   assert.deepEqual(b.answered(77), { t: "elsewhere", node: null });
 });
+
+test("a node back at once waits out the leader before its former self, too", () => {
+  // n0 led, n1 followed and came back within a fraction of a second: n0 may still be in its hold, answering A.
+  const { b: old } = running();
+  old.state.expire(old.now + 60_000);
+  const first = new Bench("n1", old.state, "n1-1");
+  first.now = old.now + 60_000;
+  first.lead();
+  const b = new Bench("n1", old.state, "n1-2");
+  b.now = first.now + 100;
+  b.lead();
+  assert.ok(b.core.reign, "it takes over from its former self at once");
+  b.cloudRule = () => ({ t: "refused", why: "down" });
+  const holdMs = b.core.leadership.holdMs();
+  const endsAt = b.now + holdMs + 12_000;
+  while (b.now < endsAt - 1000) {
+    b.report("B", [], { zone: "b" });
+    b.pass(1000);
+    assert.deepEqual(b.starts("j-1"), []);
+  }
+});
+
+test("a worker that reports but hears nothing gets no more work, is replaced if it lasts, and is used again", () => {
+  for (const lasts of [true, false]) {
+    const b = new Bench().lead();
+    const released: string[] = [];
+    const rule = b.cloudRule;
+    b.cloudRule = (call) => {
+      if (call.t === "release") released.push(...call.machines);
+      return rule(call);
+    };
+    const others = (token?: number) => {
+      for (const name of ["B", "C", "D"]) b.report(name, [], { zone: "b", ...(token && { token }) });
+    };
+    b.report("A");
+    b.submit(job("j-1", { zone: "a" }));
+    b.pass(200);
+    assert.equal(only(b.starts("j-1")).machine, "A");
+    b.silenceDo();
+    // Its reports go on arriving; the start never shows in them.
+    for (let s = 0; s < 8; s++) {
+      b.report("A");
+      others();
+      b.pass(1000);
+      b.silenceDo();
+    }
+    assert.notEqual(
+      b.core.reign?.tables.machine("A", { address: "", type: "", zone: "", spot: false }, 0).deafSince,
+      null,
+    );
+    b.submit(job("j-2", { zone: "a" }));
+    for (let s = 0; s < 2; s++) {
+      b.report("A");
+      others();
+      b.pass(1000);
+      b.silenceDo();
+    }
+    assert.deepEqual(b.starts("j-2"), [], "nothing new is given to it");
+    if (lasts) {
+      for (let s = 0; s < 30; s++) {
+        b.report("A");
+        others();
+        b.pass(1000);
+        b.silenceDo();
+      }
+      assert.deepEqual(released, ["A"]);
+    } else {
+      const { attempt } = b.starts("j-1")[0] ?? assert.fail();
+      const runs: Said = { uid: "j-1", task: 0, attempt, state: "running" };
+      b.report("A", [runs]);
+      b.pass(100);
+      b.answerDo("A", [runs]);
+      b.pass(2000);
+      assert.equal(b.starts("j-2").length, 1, "an effect shows that it hears again");
+    }
+  }
+});
+
+test("a lease that runs out under answers shows that they don't arrive", () => {
+  const { b } = running();
+  b.report("A", [], { session: 2 });
+  b.submit(job("j-2", { zone: "a" }));
+  b.pass(500);
+  assert.deepEqual(b.starts("j-2"), []);
+});
+
+test("where most workers don't hear the leader, it hands over", () => {
+  const b = new Bench().lead();
+  for (let s = 0; s < 8; s++) {
+    for (const name of ["A", "B", "C"]) b.report(name, [], { token: 0 });
+    b.pass(1000);
+    b.silenceDo();
+  }
+  assert.equal(b.core.leadership.reign, null);
+});
+
+test("a copy that comes late brings no released machine back, and is no sign of life to a new leader", () => {
+  const b = new Bench().lead();
+  const released: string[] = [];
+  b.cloudRule = (call) => {
+    if (call.t === "types") return { t: "types", types: b.types };
+    if (call.t === "release") released.push(...call.machines);
+    if (call.t !== "list") return call.t === "release" ? { t: "released" } : { t: "no_capacity" };
+    const at = { address: "A:1", type: "small", zone: "a", spot: false, ageS: 5 };
+    return { t: "page", machines: [{ name: "A", phase: "failed", ...at }], more: false };
+  };
+  b.report("A");
+  b.pass(5000);
+  assert.deepEqual(released, ["A"]);
+  b.pass(30_000);
+  const copy = b.makeReport("A");
+  b.give({ t: "report", req: 900, report: copy, raw: null });
+  b.pass(5000);
+  assert.deepEqual(b.answered(900), { t: "later" });
+  assert.deepEqual(released, ["A"], "it is not released again");
+  assert.equal(b.core.reign?.tables.machines.size, 0);
+
+  const next = new Bench().lead();
+  next.report("A", [], { token: 0 });
+  next.submit(job("j-1"));
+  next.pass(3000);
+  assert.deepEqual(next.starts("j-1"), [], "the report carries no token of this reign");
+});
+
+test("a copy that comes late to a follower does not make it a worker's way to the leader", () => {
+  const { b: leader } = running();
+  const b = new Bench("n1", leader.state);
+  b.now = leader.now;
+  b.pass(500);
+  b.give({ t: "peerLink", node: "n0", up: true });
+  const report = b.makeReport("C");
+  b.give({ t: "report", req: 901, report, raw: null });
+  b.give({ t: "report", req: 902, report, raw: null });
+  assert.deepEqual(b.answered(901), { t: "elsewhere", node: "n0" });
+  assert.deepEqual(b.answered(902), { t: "later" });
+  assert.deepEqual(b.relays, []);
+});
+
+test("a leader without state service and peers lets its workers go after two grants, and is not ready", () => {
+  for (const alone of [true, false]) {
+    const { b } = running();
+    const step = (n: number) => {
+      for (let s = 0; s < n; s++) {
+        if (!alone)
+          b.give({
+            t: "peer",
+            from: "n1",
+            message: { t: "beat", token: 0, leader: null, stateOk: false, workersHeard: 0 },
+          });
+        b.pass(1000);
+      }
+    };
+    step(1);
+    b.stateRule = () => ({ t: "refused", why: "cut off" });
+    step(6);
+    assert.equal(b.report("A")?.t, "orders", "within the hold");
+    step(6);
+    assert.equal(b.report("A")?.t === "orders", !alone, `alone: ${alone}`);
+    assert.equal(b.core.ready, !alone, "an outage that all share leaves a node ready");
+    assert.equal(b.poll("j-1")?.t, "later", "users are answered at once");
+  }
+});
--- /dev/null
+++ b/test/size.test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Bench, job, type Said } from "./bench.js";
+
+/** Lets workers do what they are told at once; reports every other second; tasks of an array take `runS`. */
+class Fleet {
+  readonly held = new Map<string, (Said & { until: number })[]>();
+  readonly begun = new Map<string, number>();
+  done = 0;
+  readonly #b: Bench;
+  readonly #more: Record<string, object>;
+
+  constructor(b: Bench, names: readonly string[], more: Record<string, object> = {}) {
+    this.#b = b;
+    this.#more = more;
+    for (const name of names) this.held.set(name, []);
+    this.report();
+  }
+
+  report(): void {
+    for (const [name, list] of this.held) this.#b.report(name, list, this.#more[name] ?? {});
+  }
+
+  /** One step of half a second. */
+  step(runMs: number): void {
+    const b = this.#b;
+    b.pass(500);
+    for (const { machine, orders } of b.sent.splice(0)) {
+      let list = this.held.get(machine) ?? [];
+      for (const o of orders) {
+        const known = list.find((s) => s.uid === o.uid && s.task === o.task && s.attempt === o.attempt);
+        if (o.op === "start" && !known) {
+          list.push({ uid: o.uid, task: o.task, attempt: o.attempt, state: "running", until: b.now + runMs });
+          if (!this.begun.has(o.uid)) this.begun.set(o.uid, b.now);
+        } else if (o.op === "stop" && known) {
+          known.until = 0;
+          Object.assign(known, { state: "ended", cause: "stopped" });
+        } else if (o.op === "forget") list = list.filter((s) => s !== known);
+      }
+      this.held.set(machine, list);
+      b.answerDo(machine, list, this.#more[machine] ?? {});
+    }
+    for (const list of this.held.values()) {
+      for (const s of list) {
+        if (s.state !== "running" || b.now < s.until) continue;
+        Object.assign(s, { state: "ended", cause: "done" });
+        this.done++;
+      }
+    }
+    this.report();
+  }
+}
+
+test("under constant overload the largest and least of every kind begins within four minutes", () => {
+  const b = new Bench().lead();
+  const more: Record<string, object> = {};
+  const names: string[] = [];
+  for (let i = 0; i < 6; i++) {
+    names.push(`G${i}`);
+    more[`G${i}`] = { type: "gpu" };
+  }
+  names.push("S0", "S1");
+  const fleet = new Fleet(b, names, more);
+  const gang = {
+    shape: "gang",
+    priority: 2,
+    types: ["gpu"],
+    need: { cpu: 6000, gpu: 2000, ram: 8000 },
+  } as const;
+  const small = { ...gang, tasks: 1 };
+  const begin = b.now;
+  b.submit(job("j-wide", { ...gang, tasks: 2, estimateS: 60, team: "blue", oneZone: true }));
+  b.submit(job("j-long", { tasks: 60, estimateS: 60, types: ["small"], team: "blue" }));
+  b.submit(job("j-idle", { priority: 0, types: ["small"], team: "blue" }));
+  let n = 0;
+  // More of everything than there is room for, shorter and of higher rank, all the time.
+  for (let step = 0; step < 480; step++) {
+    if (step % 4 === 0) {
+      b.submit(job(`j-g${n}`, { ...small, estimateS: 5, team: n % 2 ? "red" : "blue" }));
+      b.submit(job(`j-s${n}`, { tasks: 6, estimateS: 5, priority: 2, types: ["small"], team: "red" }));
+      n++;
+    }
+    fleet.step(5000);
+  }
+  assert.ok((b.core.reign?.scheduler.blocked.length ?? 0) > 10, "there is overload to the end");
+  for (const uid of ["j-wide", "j-long", "j-idle"]) {
+    const at = fleet.begun.get(uid);
+    assert.ok(at !== undefined, `${uid} never began`);
+    assert.ok(at - begin < 240_000, `${uid} began after ${(at - begin) / 1000} s`);
+  }
+});
+
+test("a fleet of a thousand machines with 100,000 tasks: quiet rounds and unchanged reports cost next to nothing", () => {
+  const b = new Bench().lead();
+  const names = Array.from({ length: 1000 }, (_, i) => `M${i}`);
+  const fleet = new Fleet(b, names);
+  for (let i = 0; i < 10; i++)
+    b.submit(job(`j-${i}`, { tasks: 10_000, estimateS: 600, team: i % 2 ? "red" : "blue" }));
+  for (let i = 0; i < 40; i++) fleet.step(3_600_000);
+  const { reign } = b.core;
+  assert.ok(reign);
+  const placed = [...reign.tables.machines.values()].reduce((sum, m) => sum + m.placements.size, 0);
+  assert.equal(placed, 40, "as many as the teams' limits allow");
+  const looked = reign.scheduler.looked;
+  const compared = reign.fleet.reconciled;
+  const written = b.state.revision;
+  for (let i = 0; i < 20; i++) fleet.step(3_600_000);
+  // Ten seconds, ten rounds at most a second, ten jobs waiting: far fewer looks at a machine than machines x jobs.
+  assert.ok(reign.scheduler.looked - looked <= 2 * 1000, `${reign.scheduler.looked - looked} looks`);
+  assert.ok(
+    reign.fleet.reconciled - compared <= 1000,
+    `${reign.fleet.reconciled - compared} reports taken apart`,
+  );
+  assert.ok(b.state.revision - written <= 5, "and next to nothing is written");
+});
+
+test("a fleet's machines are recorded many to a key, and a new leader of the largest fleet is soon ready", () => {
+  const b = new Bench().lead();
+  b.core.directory.machines.intern("none");
+  const names = Array.from({ length: 1000 }, (_, i) => `M${i}`);
+  const fleet = new Fleet(b, names);
+  for (let i = 0; i < 20; i++) b.submit(job(`j-${i}`, { tasks: 1, estimateS: 600 }));
+  for (let i = 0; i < 20; i++) fleet.step(3_600_000);
+  const buckets = [...b.state.items.keys()].filter((key) => key.startsWith("m/"));
+  assert.ok(buckets.length >= 1 && buckets.length <= 30, `${buckets.length} records of machines`);
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  assert.ok(next.core.reign?.fleet.loaded, "ready after three reads");
+  const recorded = next.core.reign?.tables.machines.size ?? 0;
+  assert.ok(recorded > 0);
+  // It shows them its token a few at a time, so that its renewals are never late.
+  next.pass(100);
+  assert.ok(next.sent.length > 0 && next.sent.length <= 40 * 16, `${next.sent.length} at once`);
+});
--- a/test/world.ts
+++ b/test/world.ts
@@ -100,6 +100,7 @@
   alive: boolean;
   hungUntil: number;
   cutUntil: number;
+  deafUntil: number;
   session: number;
   sequence: number;
   token: number;
@@ -119,6 +120,8 @@
   cancelAsked: boolean;
   cancelledAt: number | null;
   toldDone: boolean;
+  /** When a question about it was last answered. */
+  answeredAt: number;
   readonly done: Set<number>;
   finishedAt: number | null;
 }
@@ -132,6 +135,7 @@
   offset: number;
   cutUntil: number;
   stateCutUntil: number;
+  peersCutUntil: number;
   refusedUntil: number;
   workersCutUntil: number;
   /** Packets of a cut are delivered when it ends, not lost. */
@@ -150,6 +154,14 @@
   readonly hang: number;
   readonly taken: number;
   readonly error: number;
+  /** Workers whose reports arrive while nothing reaches them. */
+  readonly deaf: number;
+  /** The part of all reports of which a copy comes late. */
+  readonly copies: number;
+  /** Nodes that lose the state service and their peers, but not their workers. */
+  readonly lonely: number;
+  /** Nodes that are back within a fraction of a second, also twice in a row and all together. */
+  readonly blink: number;
 }
 
 interface Event {
@@ -243,6 +255,7 @@
       offset: int(this.#random, 0, 100_000),
       cutUntil: 0,
       stateCutUntil: 0,
+      peersCutUntil: 0,
       refusedUntil: 0,
       workersCutUntil: 0,
       holds: false,
@@ -358,7 +371,8 @@
         break;
       case "peerSend": {
         const to = this.nodes.find((n) => n.name === effect.to);
-        if (!to || this.now < node.cutUntil || this.now < to.cutUntil) break;
+        if (!to || this.now < Math.max(node.cutUntil, to.cutUntil, node.peersCutUntil, to.peersCutUntil))
+          break;
         const message = structuredClone(effect.message);
         this.#giveLater(to, to.epoch, this.between(1, 8), () => ({ t: "peer", from: node.name, message }));
         break;
@@ -447,6 +461,7 @@
       alive: true,
       hungUntil: 0,
       cutUntil: 0,
+      deafUntil: 0,
       session: 1,
       sequence: 0,
       token: 0,
@@ -670,28 +685,36 @@
     }
   }
 
-  #report(worker: Worker, node: Node): Report {
+  /** What a worker says, in the form of the node it says it to: a copy made now may be read by any node later. */
+  #report(worker: Worker): (node: Node) => Report {
     worker.sequence++;
-    const { core } = node;
-    if (!core) throw new Error("no node to report to");
-    return {
-      machine: core.directory.machines.intern(worker.name),
-      address: `${worker.name}:1`,
-      type: worker.type.name,
-      zone: worker.zone,
-      spot: worker.spot,
-      session: worker.session,
-      sequence: worker.sequence,
-      token: worker.token,
-      noticeS: worker.noticeAt === null ? null : Math.max(0, (worker.noticeAt - this.now) / 1000),
-      tasks: worker.tasks.map((t) => ({
+    const { session, sequence, token, noticeAt } = worker;
+    const noticeS = noticeAt === null ? null : Math.max(0, (noticeAt - this.now) / 1000);
+    const tasks = worker.tasks.map((task) => ({ ...task }));
+    return ({ core }) => {
+      if (!core) throw new Error("no node to report to");
+      const entries = tasks.map((t) => ({
         job: core.directory.jobs.intern(t.uid),
         task: t.task,
         attempt: t.attempt,
         state: t.state,
         cause: t.cause,
         saved: t.saved,
-      })),
+      }));
+      const machine = core.directory.machines.intern(worker.name);
+      const { name, type, zone, spot } = worker;
+      return {
+        machine,
+        address: `${name}:1`,
+        type: type.name,
+        zone,
+        spot,
+        session,
+        sequence,
+        token,
+        noticeS,
+        tasks: entries,
+      };
     };
   }
 
@@ -719,7 +742,8 @@
     this.#reportAnswers.set(req, (answer) => {
       this.#at(this.between(1, 6), () => {
         if (!worker.alive || worker.inFlight !== id || this.#stuck(worker)) return;
-        if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil)) return;
+        if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil, worker.deafUntil))
+          return;
         worker.inFlight = 0;
         if (answer.t === "elsewhere") {
           const to = this.nodes.findIndex((n) => n.name === answer.node);
@@ -752,8 +776,14 @@
     const { epoch } = node;
     this.#at(this.between(1, 6), () => {
       if (node.epoch !== epoch || !node.core) return;
-      const report = this.#report(worker, node);
-      this.#give(node, { t: "report", req, report, raw: null });
+      const report = this.#report(worker);
+      this.#give(node, { t: "report", req, report: report(node), raw: null });
+      if (!this.chance(this.#trouble.copies)) return;
+      // From seconds to several leases later, at any node, also when the machine is gone.
+      this.#at(this.between(500, 60_000), () => {
+        const to = this.nodes[this.between(0, this.nodes.length - 1)];
+        if (to?.core) this.#give(to, { t: "report", req: this.#nextReq++, report: report(to), raw: null });
+      });
     });
   }
 
@@ -782,9 +812,14 @@
         worker.token = effect.token;
         for (const order of effect.orders) this.#execute(worker, order);
       }
-      return { report: () => (node.core ? this.#report(worker, node) : null), executed };
+      const report = this.#report(worker);
+      return { report: () => (node.core ? report(node) : null), executed };
     };
     const blocked = Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil, worker.hungUntil);
+    if (this.now < worker.deafUntil) {
+      done(1500, null, false);
+      return;
+    }
     if (this.now < blocked) {
       // Held packets, or a machine that hangs: executed when it ends, while token and session match.
       if (node.holds || worker.hungUntil > this.now) this.#at(blocked - this.now + this.between(1, 100), run);
@@ -889,6 +924,7 @@
       cancelAsked: false,
       cancelledAt: null,
       toldDone: false,
+      answeredAt: this.now,
       done: new Set(),
       finishedAt: null,
     };
@@ -917,7 +953,10 @@
         (req) => ({ t: "poll", req, uid }),
         (a) => {
           if (a?.t === "unknown") this.fault("forgotten", `${uid} got 404`);
-          if (a?.t === "view") this.#told(job, a.view.phase, before);
+          if (a?.t === "view") {
+            job.answeredAt = this.now;
+            this.#told(job, a.view.phase, before);
+          }
           this.#pollOn(job);
         },
       );
@@ -987,6 +1026,20 @@
       else if (kind === 2) node.workersCutUntil = until;
       else node.refusedUntil = until;
     }
+    if (this.chance(t.blink)) {
+      const nodes = this.chance(0.3) ? this.nodes : [node];
+      const backMs = this.between(20, 400);
+      for (const n of nodes) {
+        if (!n) continue;
+        this.crash(n.ix, backMs);
+        if (this.chance(0.4)) this.#at(backMs + this.between(50, 1500), () => this.crash(n.ix, backMs));
+      }
+    }
+    if (this.chance(t.lonely) && node) {
+      node.peersCutUntil = this.now + this.between(5000, 40_000);
+      node.stateCutUntil = node.peersCutUntil;
+    }
+    if (worker && this.chance(t.deaf)) worker.deafUntil = this.now + this.between(5000, 60_000);
     if (this.chance(t.outage)) {
       const ms = this.between(2000, 20_000);
       this.state.outageUntil = this.now + ms;
