--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -203,6 +203,7 @@
 
   #tick(budget: Budget): void {
     this.view.tick();
+    this.intake.comparePolls();
     this.leadership.tick();
     this.reign?.tick(budget);
     this.#mayHandOver();
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -165,7 +165,8 @@
           break;
         }
         case "up": {
-          const quiet = now - machine.heardAt;
+          // A new leader counts from its beginning: machines it has never heard may be in a zone that is cut off.
+          const quiet = now - Math.max(machine.heardAt, this.#reign.since);
           if (machine.placements.size > 0 || machine.strayUse.cpu > 0) machine.idleSince = null;
           else machine.idleSince ??= now;
           // A zone that is cut off comes back with its machines and their images; given back they would have
@@ -175,7 +176,7 @@
           const deafMs = machine.deafSince === null || !deafFew ? 0 : now - machine.deafSince;
           if (deafMs > deployment.leaseS * 2000) this.#giveUp(machine, "it does not hear");
           else if (machine.lost && quiet > deployment.leaseS * 2000) this.#giveUp(machine, "silent");
-          else if (quiet > silentMs && (machine.spot || noticed) && now - this.#reign.since > silentMs) {
+          else if (quiet > silentMs && (machine.spot || noticed)) {
             this.#giveUp(machine, "taken back");
           } else if (machine.mode === "drain" && machine.placements.size === 0) {
             this.#giveUp(machine, "drained");
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -8,6 +8,9 @@
 const CALL_MS = 1500;
 const TRIES = 4;
 const FINALS_KEPT = 20_000;
+const VERSIONS_KEPT = 20_000;
+/** Conditions of a transaction, as a multiple of its changes. */
+const CONDITIONS = 4;
 
 export interface IntakeEvents {
   /** This node has written, or read, a job's key. */
@@ -33,6 +36,10 @@
   readonly #events: IntakeEvents;
   /** Final states never change, so they may be remembered; oldest first. */
   readonly #finals = new Map<string, JobView>();
+  /** Unfinished jobs as this node last read them; oldest first. Asked about again, only the version is compared. */
+  readonly #seen = new Map<string, { readonly version: number; readonly cancelled: boolean }>();
+  /** Polls of such jobs that wait to be answered together. */
+  #gathered: { readonly uid: string; readonly answer: (a: UserAnswer) => void }[] = [];
 
   constructor(ctx: Context, view: ConfigView, events: IntakeEvents) {
     this.#ctx = ctx;
@@ -57,7 +64,7 @@
       this.#find(uid, (found) => {
         if (found === null) answer(later("the state service does not answer"));
         else if (found.t === "absent") answer(refusal ?? later("undecided"));
-        else answer({ t: "accepted", known: true, view: this.#viewOf(uid, found) });
+        else answer({ t: "accepted", known: true, view: this.#viewOfFound(uid, found) });
       });
       return;
     }
@@ -80,12 +87,13 @@
       CALL_MS,
       (result) => {
         if (result.t === "ok") {
+          this.#note(uid, result.revision, record);
           this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision });
           answer({ t: "accepted", known: false, view: { uid, phase: "queued", done: 0, running: 0 } });
         } else if (result.t === "conflict") {
           this.#find(uid, (found) => {
             if (found === null || found.t === "absent") answer(later("the state service does not answer"));
-            else answer({ t: "accepted", known: true, view: this.#viewOf(uid, found) });
+            else answer({ t: "accepted", known: true, view: this.#viewOfFound(uid, found) });
           });
         } else {
           answer(later("the state service does not answer"));
@@ -114,12 +122,45 @@
     const over = this.#finals.get(uid);
     if (over) {
       answer({ t: "view", view: over });
-      return;
+    } else if (this.#seen.has(uid)) {
+      this.#gathered.push({ uid, answer });
+      if (this.#gathered.length >= this.#ctx.deployment.txnOps * CONDITIONS) this.comparePolls();
+    } else {
+      this.#read(uid, answer);
     }
+  }
+
+  /**
+   * Answers the gathered polls with one transaction that only compares: where a job's version is still the one this node
+   * has read, no node can have told anything newer. One read for each poll took half of the state service's requests.
+   */
+  comparePolls(): void {
+    const polls = this.#gathered;
+    if (polls.length === 0) return;
+    this.#gathered = [];
+    const asked = new Map<string, { readonly version: number; readonly cancelled: boolean }>();
+    for (const { uid } of polls) {
+      const seen = this.#seen.get(uid);
+      if (seen) asked.set(uid, seen);
+    }
+    const conditions = [...asked].map(([uid, { version }]) => ({ key: KEYS.job(uid), version }));
+    this.#ctx.state({ t: "txn", conditions, changes: [] }, CALL_MS, (result) => {
+      const failed = new Set(result.t === "conflict" ? result.failed : []);
+      for (const { uid, answer } of polls) {
+        const seen = asked.get(uid);
+        if (result.t !== "ok" && result.t !== "conflict") answer(later("the state service does not answer"));
+        else if (seen && !failed.has(KEYS.job(uid)))
+          answer({ t: "view", view: this.#viewOf(uid, seen.cancelled) });
+        else this.#read(uid, answer);
+      }
+    });
+  }
+
+  #read(uid: string, answer: (a: UserAnswer) => void): void {
     this.#find(uid, (found) => {
       if (found === null) answer(later("the state service does not answer"));
       else if (found.t === "absent") answer({ t: "unknown" });
-      else answer({ t: "view", view: this.#viewOf(uid, found) });
+      else answer({ t: "view", view: this.#viewOfFound(uid, found) });
     });
   }
 
@@ -130,7 +171,7 @@
       } else if (found.t === "absent") {
         answer({ t: "unknown" });
       } else if (found.t === "over" || found.record.state === "cancelled") {
-        answer({ t: "view", view: this.#viewOf(uid, found) });
+        answer({ t: "view", view: this.#viewOfFound(uid, found) });
       } else {
         this.#writeCancelled(uid, found.item, found.record, answer, tries);
       }
@@ -148,6 +189,7 @@
     const conditions = [{ key: item.key, version: item.version }];
     this.#ctx.state({ t: "txn", conditions, changes: [{ put: item.key, value }] }, CALL_MS, (result) => {
       if (result.t === "ok") {
+        this.#note(uid, result.revision, value);
         this.#events.learned({ key: item.key, value, version: result.revision });
         const { done = 0, running = 0 } = this.#events.counts(uid) ?? {};
         answer({ t: "view", view: { uid, phase: "cancelled", done, running } });
@@ -168,6 +210,7 @@
     this.#ctx.state({ t: "get", key: KEYS.job(uid) }, CALL_MS, (answer) => {
       if (answer.t === "item") {
         const record = readJob(answer.item.value);
+        if (record) this.#note(uid, answer.item.version, record);
         then(record ? { t: "active", item: answer.item, record } : null);
       } else if (answer.t === "absent") {
         this.#ctx.state({ t: "get", key: KEYS.final(uid) }, CALL_MS, (final) => {
@@ -181,7 +224,14 @@
     });
   }
 
+  #note(uid: string, version: number, { state }: JobRecord): void {
+    this.#seen.delete(uid);
+    this.#seen.set(uid, { version, cancelled: state === "cancelled" });
+    trim(this.#seen, VERSIONS_KEPT);
+  }
+
   #remember(uid: string, item: StateItem): Found {
+    this.#seen.delete(uid);
     const record = readFinal(item.value);
     if (!record) return null;
     const view: JobView = {
@@ -191,21 +241,28 @@
       running: 0,
     };
     this.#finals.set(uid, view);
-    if (this.#finals.size > FINALS_KEPT) {
-      const oldest = this.#finals.keys().next();
-      if (!oldest.done) this.#finals.delete(oldest.value);
-    }
+    trim(this.#finals, FINALS_KEPT);
     return { t: "over", view };
   }
 
-  #viewOf(uid: string, found: Exclude<Found, null | { t: "absent" }>): JobView {
-    if (found.t === "over") return found.view;
+  #viewOfFound(uid: string, found: Exclude<Found, null | { t: "absent" }>): JobView {
+    return found.t === "over" ? found.view : this.#viewOf(uid, found.record.state === "cancelled");
+  }
+
+  #viewOf(uid: string, cancelled: boolean): JobView {
     const { done, running } = this.#events.counts(uid) ?? { done: 0, running: 0 };
-    if (found.record.state === "cancelled") return { uid, phase: "cancelled", done, running };
+    if (cancelled) return { uid, phase: "cancelled", done, running };
     return { uid, phase: running > 0 ? "running" : "queued", done, running };
   }
 }
 
+/** Drops the oldest entry of a map that has grown too large. */
+function trim(map: Map<string, unknown>, most: number): void {
+  if (map.size <= most) return;
+  const oldest = map.keys().next();
+  if (!oldest.done) map.delete(oldest.value);
+}
+
 export function later(error: string, afterS = 1): Extract<UserAnswer, { t: "later" }> {
   return { t: "later", error, afterS };
 }
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -9,7 +9,7 @@
 /** After this long with nothing on a machine a job goes before its betters, whatever aims it has missed. */
 const AGED_S = 150;
 /** Places for a whole gang take longer to gather, and must be there within the same time. */
-const AGED_GANG_S = 90;
+const AGED_GANG_S = 120;
 /** Above all but guaranteed production work. */
 const AGED_RANK = 8;
 
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -33,7 +33,7 @@
         body: {
           if: call.conditions.map(({ key, version }) => ({ path: key, stamp: version })),
           // biome-ignore lint/suspicious/noThenProperty: the state service's own word
-          then: call.changes.map(encodeChange),
+          then: call.changes.length > 0 ? call.changes.map(encodeChange) : undefined,
         },
       };
     case "get":
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -161,6 +161,8 @@
   poll(uid: string): UserAnswer | undefined {
     const req = this.#req++;
     this.give({ t: "poll", req, uid });
+    // Polls of known jobs are gathered until the next tick.
+    this.give({ t: "tick" });
     return this.#users.get(req);
   }
 
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -325,6 +325,7 @@
   // An index that no name has: the fault. The poll behind it in the same batch is answered all the same.
   const report = { ...b.makeReport("A"), machine: 9999 };
   b.give({ t: "report", req: 800, report, raw: null }, { t: "poll", req: 801, uid: "j-1" });
+  b.give({ t: "tick" });
   assert.deepEqual(b.faults, ["fault in the core"]);
   assert.equal(b.toldUser(801)?.t, "view");
   assert.equal(b.core.leaderName === null || b.core.leadership.reign === null, true);
@@ -358,6 +359,31 @@
   assert.equal(b.core.leadership.reign, null);
 });
 
+test("polls are answered together by one comparison, and never with what another node has outdated", () => {
+  const state = new StateService();
+  const b = new Bench("n0", state).lead();
+  const other = new Bench("n1", state);
+  other.now = b.now;
+  other.pass(500);
+  const uids = ["j-1", "j-2", "j-3"];
+  for (const uid of uids) b.submit(job(uid));
+  const calls: string[] = [];
+  b.stateRule = (call) => {
+    calls.push(call.t);
+    return null;
+  };
+  for (const [i, uid] of uids.entries()) b.give({ t: "poll", req: 700 + i, uid });
+  b.give({ t: "tick" });
+  assert.deepEqual(calls, ["txn"]);
+  for (const i of uids.keys()) assert.equal(b.toldUser(700 + i)?.t, "view");
+  assert.equal(other.cancel("j-2")?.t, "view");
+  assert.deepEqual(b.poll("j-1"), { t: "view", view: { uid: "j-1", phase: "queued", done: 0, running: 0 } });
+  const told = b.poll("j-2");
+  assert.ok(told?.t === "view" && told.view.phase === "cancelled");
+  b.stateRule = () => ({ t: "silent" });
+  assert.equal(b.poll("j-1")?.t, "later", "what can't be compared is not answered from memory");
+});
+
 test("a follower passes reports on to a leader it hears, sends workers to one it does not, and never answers itself", () => {
   const { b: leader } = running();
   const b = new Bench("n1", leader.state);
