--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -7,9 +7,7 @@
 const GUARANTEE_S = 60;
 
 /** After this long with nothing on a machine a job goes before its betters, whatever aims it has missed. */
-const AGED_S = 150;
-/** Places for a whole gang take longer to gather, and must be there within the same time. */
-const AGED_GANG_S = 120;
+const AGED_S = 160;
 /** Above all but guaranteed production work. */
 const AGED_RANK = 8;
 
@@ -19,9 +17,8 @@
  */
 export function isAged(ctx: Context, job: Job): boolean {
   if (job.held.size > 0) return false;
-  const gang = job.spec.shape === "gang" && job.spec.tasks > 1;
   const waitedMs = Math.min(ctx.wallMs - job.acceptedAt, ctx.now - job.lastHeldAt);
-  return waitedMs > (gang ? AGED_GANG_S : AGED_S) * 1000;
+  return waitedMs > AGED_S * 1000;
 }
 
 /** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
