--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -54,6 +54,8 @@
   /** Requests that got no answer, to be repeated under their names. */
   readonly #unanswered: { at: number; hire: Hire }[] = [];
   #requests = 0;
+  /** Zones that are, or were just now, cut off. */
+  readonly #cutUntil = new Map<string, number>();
   #listing = false;
   #listedAt = Number.NEGATIVE_INFINITY;
   #typesAt = Number.NEGATIVE_INFINITY;
@@ -214,9 +216,10 @@
       if (now - heardAt > missedMs) count.quiet++;
       counts.set(zone, count);
     }
-    const cut = new Set<string>();
-    for (const [zone, { all, quiet }] of counts) if (quiet > 1 && quiet >= all / 2) cut.add(zone);
-    return cut;
+    // When it comes back its workers are heard one after the other: those that are yet to come are not silent.
+    for (const [zone, { all, quiet }] of counts)
+      if (quiet > 1 && quiet >= all / 2) this.#cutUntil.set(zone, now + deployment.leaseS * 2000);
+    return new Set([...this.#cutUntil].filter(([, until]) => now < until).map(([zone]) => zone));
   }
 
   #release(): void {
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -104,10 +104,8 @@
     const busy = (m: Machine) => m.used.gpu > 0;
     const asked = kind.arrivals.reduce((n, a) => n + a.slots, 0);
     const leadS = type.bootS + kind.imageGb / Math.max(0.01, type.fetchGbPerS);
-    // Slots come in gangs: the wider those are, the more what comes while a machine boots swings about its mean.
-    const squares = kind.arrivals.reduce((n, a) => n + a.slots * a.slots, 0);
-    const swing = Math.sqrt((squares / Math.max(1, settings.spare_window_s)) * leadS);
-    const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * swing);
+    const likely = (asked / Math.max(1, settings.spare_window_s)) * leadS;
+    const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * Math.sqrt(likely));
     this.#scheduler.leaveRoom(type.name, kind.need, spare);
     let waiting = 0;
     // What the hirer would rent for small work is not given back while such work waits: that was a wheel of
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -300,3 +300,40 @@
   assert.equal(live(held, "B", "j-11").length, 1);
   assert.equal(next.core.reign?.mover.moves, 0, "it began none of its own before");
 });
+
+test("machines of a zone that is cut off are kept, also while they come back one by one; a single silent one is not", () => {
+  const b = new Bench().lead();
+  const released: string[] = [];
+  const rule = b.cloudRule;
+  b.cloudRule = (call) => {
+    if (call.t === "release") released.push(...call.machines);
+    return call.t === "release" ? { t: "released" } : rule(call);
+  };
+  const zoneB = ["B0", "B1", "B2", "B3"];
+  const zoneA = ["A0", "A1", "A2", "A3", "A4", "A5", "A6", "A7", "A8"];
+  const beatAll = (names: readonly string[], zone: string) => {
+    // GPU machines: plain ones would be returned for being idle.
+    for (const name of names) b.report(name, [], { zone, type: "gpu", spot: true });
+  };
+  for (let s = 0; s < 3; s++) {
+    beatAll(zoneA, "a");
+    beatAll(zoneB, "b");
+    b.pass(1000);
+  }
+  for (let s = 0; s < 60; s++) {
+    beatAll(zoneA, "a");
+    b.pass(1000);
+  }
+  for (let s = 0; s < 10; s++) {
+    beatAll(zoneA, "a");
+    beatAll(zoneB.slice(0, 3), "b");
+    b.pass(1000);
+  }
+  assert.deepEqual(released, []);
+  for (let s = 0; s < 40; s++) {
+    beatAll(zoneA, "a");
+    beatAll(zoneB.slice(0, 3), "b");
+    b.pass(1000);
+  }
+  assert.deepEqual(released, ["B3"]);
+});
