--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -458,7 +458,9 @@
         share: Math.round(machine.share() * 1000) / 1000,
       })),
       jobs: tables.jobs.size,
-      queue: reign.scheduler.blocked.map(({ job, count }) => ({ job: job.uid, tasks: count })),
+      queue: [...tables.jobs.values()]
+        .filter((job) => job.pending > 0)
+        .map((job) => ({ job: job.uid, tasks: job.pending, why: job.waitsFor ?? "it is next" })),
       move: reign.mover.pending,
       moves: reign.mover.moves,
       rounds_cut: reign.scheduler.roundsCut,
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -144,6 +144,12 @@
       const [, uid = "", chunk = ""] = item.key.split("/");
       const job = this.tables.jobByUid(uid);
       const record = readChunk(item.value);
+      if (job && !record) {
+        // What can't be read may be running: it is kept, and nothing of the job is started.
+        job.unreadable = true;
+        this.#ctx.log("error", "a record can't be read", { key: item.key });
+        continue;
+      }
       if (!job || !record) {
         // The job's final state was written while none of its tasks was left.
         this.recorder.discard(item.key);
@@ -206,7 +212,10 @@
   learnJob(item: StateItem): void {
     const record = readJob(item.value);
     const uid = item.key.slice("j/".length);
-    if (!record || record.spec.uid !== uid) return;
+    if (!record || record.spec.uid !== uid) {
+      this.#ctx.log("error", "a record can't be read", { key: item.key });
+      return;
+    }
     const known = this.tables.jobByUid(uid);
     if (known) {
       if (item.version <= known.version) return;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -141,7 +141,12 @@
       .filter((job) => job.state === "active" && !job.complete)
       .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
     const guaranteed = this.guaranteedJobs(jobs);
-    const waiting = jobs.filter((job) => job.pending > 0 && job.notBefore <= now && !job.finishing);
+    const waiting = jobs.filter((job) => {
+      if (job.pending === 0 || job.finishing) return false;
+      if (job.unreadable) this.#waits(job, "a record of it can't be read");
+      else if (job.notBefore > now) this.#waits(job, "it failed and is tried again later");
+      return !job.unreadable && job.notBefore <= now;
+    });
     return inOrder(this.#ctx, waiting, guaranteed).map((job) => ({
       job,
       count: job.pending,
@@ -167,17 +172,31 @@
     return result;
   }
 
+  /** Notes for the operators why a job waits; one that has waited long is told of in the log, once. */
+  #waits(job: Job, why: string): void {
+    if (isAged(this.#ctx, job) && job.waitsFor !== why) {
+      const waitedS = Math.round((this.#ctx.wallMs - job.acceptedAt) / 1000);
+      this.#ctx.log("info", "job still waits", { job: job.uid, why, waited_s: waitedS });
+    }
+    job.waitsFor = why;
+  }
+
   #serve(entry: Blocked): void {
     const { job } = entry;
     if (job.state !== "active" || job.pending === 0) return;
+    job.waitsFor = null;
     // An array that goes first only because of its age begins with a part: it must not hold up all others.
     const aged = isAged(this.#ctx, job);
     const most = aged && job.spec.shape === "array" ? Math.ceil(job.pending / AGED_PART) : job.pending;
     const allowed = Math.min(most, this.withinLimit(job));
     if (job.spec.shape === "gang") {
       // All tasks at once, and nothing of the former attempt may be left.
-      if (job.held.size > 0) return;
+      if (job.held.size > 0) {
+        this.#waits(job, "its former attempt has not ended everywhere");
+        return;
+      }
       if (allowed < job.spec.tasks) {
+        this.#waits(job, "the limit of its team");
         // Smaller jobs would take each bit of the team's limit that comes free, for ever.
         if (aged) this.#holdLimit(job);
         return;
@@ -185,7 +204,10 @@
       this.#serveGang(entry);
       return;
     }
-    if (allowed === 0) return;
+    if (allowed === 0) {
+      this.#waits(job, "the limit of its team");
+      return;
+    }
     const placed = this.#placeMany(job, allowed);
     if (placed < allowed) this.#noPlace(entry, allowed - placed);
   }
@@ -222,6 +244,7 @@
   #noPlace(entry: Blocked, count: number): void {
     const { job } = entry;
     job.blockedSince ??= this.#ctx.now;
+    this.#waits(job, job.makingRoomUntil > this.#ctx.now ? "room is being made" : "no machine has room");
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
     if (job.spec.priority >= 2 || entry.guaranteed) {
       this.#makeRoom(job, count, entry.guaranteed, () => true, null);
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -65,6 +65,10 @@
   state: JobState = "active";
   /** Nothing of this job starts before this time (after failures). */
   notBefore = 0;
+  /** Why some of its tasks wait, in words for the operators, as of the last round. */
+  waitsFor: string | null = null;
+  /** A record of its placements can't be read: nothing of it may be started, as it may be running. */
+  unreadable = false;
   failures = 0;
   readonly failedOn = new Set<number>();
   readonly held = new Map<number, Placement>();
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -574,3 +574,38 @@
     assert.equal(b.poll("j-1")?.t, "later", "users are answered at once");
   }
 });
+
+test("records that can't be read are told of and kept, and nothing they may speak of is started", () => {
+  const { b: old } = running();
+  old.submit(job("j-2"));
+  const put = (key: string, value: unknown) =>
+    old.state.run({ t: "txn", conditions: [], changes: [{ put: key, value }] }, old.now);
+  put("p/j-1/0", { held: "?" });
+  put("j/j-3", ["?"]);
+  put("m/7", 12);
+  put("c/settings", "?");
+  old.state.expire(old.now + 60_000);
+  const b = new Bench("n1", old.state);
+  b.now = old.now + 60_000;
+  b.lead();
+  assert.ok(b.core.reign?.fleet.loaded);
+  assert.ok(b.faults.length >= 3 && b.faults.every((text) => text === "a record can't be read"));
+  b.report("B", [], { zone: "b" });
+  b.pass(60_000);
+  b.report("B", [], { zone: "b" });
+  b.pass(500);
+  assert.deepEqual(b.starts("j-1"), [], "it may be running");
+  assert.deepEqual(old.state.items.get("p/j-1/0")?.value, { held: "?" }, "kept");
+  assert.equal(b.poll("j-3")?.t, "later");
+  const queue = b.core.status().queue as { job: string; why: string }[];
+  assert.ok(queue.some((q) => q.job === "j-1" && q.why.includes("read")));
+});
+
+test("a job that waits says why", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1", { types: ["gpu"], need: { cpu: 1000, gpu: 1000, ram: 1000 } }));
+  b.pass(3000);
+  const queue = b.core.status().queue as { job: string; why: string }[];
+  assert.equal(queue.find((q) => q.job === "j-1")?.why, "no machine has room");
+});
