--- a/src/shell/api.ts
+++ b/src/shell/api.ts
@@ -81,7 +81,8 @@
   app.use((_req, res) => json(res, 404, { error: "no such path" }));
   app.use((error: unknown, _req: Request, res: Response, _next: NextFunction) => {
     const status = (error as { status?: unknown }).status;
-    const code = typeof status === "number" && status >= 400 && status < 500 ? status : 500;
+    // Whatever is wrong with a request, 400 is what keeps its sender from repeating it for a minute.
+    const code = typeof status === "number" && status >= 400 && status < 500 ? 400 : 500;
     json(res, code, { error: code === 500 ? "internal error" : "malformed request" });
   });
 
