--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -490,12 +490,20 @@
   }
 });
 
-test("a lease that runs out under answers shows that they don't arrive", () => {
-  const { b } = running();
-  b.report("A", [], { session: 2 });
-  b.submit(job("j-2", { zone: "a" }));
-  b.pass(500);
-  assert.deepEqual(b.starts("j-2"), []);
+test("a lease that runs out under answers shows that they don't arrive; one that ran out in silence does not", () => {
+  for (const silentMs of [0, 13_000]) {
+    const { b } = running();
+    b.cloudRule = () => ({ t: "refused", why: "" });
+    b.pass(silentMs);
+    b.report("A", [], { session: 2 });
+    for (let s = 0; s < 3; s++) {
+      b.pass(500);
+      b.silenceDo();
+      b.report("A", [], { session: 2 });
+    }
+    const again = b.starts("j-1").length > 1;
+    assert.equal(again, silentMs > 0, `silent for ${silentMs} ms`);
+  }
 });
 
 test("where most workers don't hear the leader, it hands over", () => {
