--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -57,6 +57,8 @@
   #open = new Map<string, Machine[]>();
   /** Demands that found no place in this call: what asks for as much or more need not look again. */
   #narrowed = false;
+  /** The jobs within their teams' guarantees, as of this round. */
+  #guaranteed: ReadonlySet<Job> = new Set();
   readonly #vain = new Map<string, { need: Amount; tasks: number }[]>();
   /** Work of the last full round that found no place. */
   blocked: Blocked[] = [];
@@ -141,6 +143,7 @@
       .filter((job) => job.state === "active" && !job.complete)
       .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
     const guaranteed = this.guaranteedJobs(jobs);
+    this.#guaranteed = guaranteed;
     const waiting = jobs.filter((job) => {
       if (job.pending === 0 || job.finishing) return false;
       if (job.unreadable) this.#waits(job, "a record of it can't be read");
@@ -591,6 +594,9 @@
     // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
     if (!guaranteed || spec.team === job.spec.team || spec.priority > job.spec.priority) return false;
     if (spec.priority === 3) return false;
+    // What is within its own team's guarantee has borrowed nothing: two teams took turns stopping each other's gangs,
+    // some of them twenty times.
+    if (this.#guaranteed.has(victim.job)) return false;
     // Taking back what another team has borrowed must not throw away much work.
     const ranMs = victim.runningSince === null ? 0 : this.#ctx.now - victim.runningSince;
     if (spec.checkpointS === 0 && ranMs > RECLAIM_MS) return false;
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -145,9 +145,14 @@
       wanted,
       surplus,
     });
-    // The dear ones first, and of those the emptiest.
+    // Those chosen before: chosen anew each second, one machine after another was cleared of its work and kept.
+    // Then the dear ones, and of those the emptiest.
     free.sort(
-      (a, b) => Number(a.spot) - Number(b.spot) || a.placements.size - b.placements.size || a.ix - b.ix,
+      (a, b) =>
+        Number(b.retiring) - Number(a.retiring) ||
+        Number(a.spot) - Number(b.spot) ||
+        a.placements.size - b.placements.size ||
+        a.ix - b.ix,
     );
     for (const machine of machines) machine.retiring = false;
     for (const machine of free) {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -337,3 +337,30 @@
   }
   assert.deepEqual(released, ["B3"]);
 });
+
+test("a team's guarantee takes nothing from work within another team's: no two gangs take turns stopping each other", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["G", []]]);
+  b.report("G", [], GPU);
+  const gang = {
+    shape: "gang",
+    priority: 2,
+    types: ["gpu"],
+    need: { cpu: 6000, gpu: 2000, ram: 8000 },
+    checkpointS: 5,
+    saveS: 1,
+    estimateS: 600,
+  } as const;
+  b.submit(job("j-1", { ...gang, team: "red" }));
+  settle(b, held, { G: GPU });
+  assert.equal(live(held, "G", "j-1").length, 1);
+  // Red has borrowed CPUs elsewhere, so it uses more than its guarantee; its first gang is within it all the same.
+  for (const name of ["A", "B", "C", "D"]) held.set(name, []);
+  for (const name of ["A", "B", "C", "D"]) b.report(name);
+  b.submit(job("j-2", { tasks: 16, team: "red", estimateS: 600 }));
+  settle(b, held, { G: GPU });
+  b.submit(job("j-3", { ...gang, team: "blue" }));
+  beat(b, held, { G: GPU }, 20);
+  assert.equal(live(held, "G", "j-1").length, 1);
+  assert.deepEqual(b.ops("stop", "j-1"), []);
+});
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -55,7 +55,7 @@
   const b = new Bench().lead();
   const more: Record<string, object> = {};
   const names: string[] = [];
-  for (let i = 0; i < 6; i++) {
+  for (let i = 0; i < 3; i++) {
     names.push(`G${i}`);
     more[`G${i}`] = { type: "gpu" };
   }
@@ -68,13 +68,16 @@
     need: { cpu: 6000, gpu: 2000, ram: 8000 },
   } as const;
   const small = { ...gang, tasks: 1 };
-  const begin = b.now;
-  b.submit(job("j-wide", { ...gang, tasks: 2, estimateS: 60, team: "blue", oneZone: true }));
-  b.submit(job("j-long", { tasks: 60, estimateS: 60, types: ["small"], team: "blue" }));
-  b.submit(job("j-idle", { priority: 0, types: ["small"], team: "blue" }));
   let n = 0;
   // More of everything than there is room for, shorter and of higher rank, all the time.
-  for (let step = 0; step < 480; step++) {
+  let begin = 0;
+  for (let step = 0; step < 520; step++) {
+    if (step === 40) {
+      begin = b.now;
+      b.submit(job("j-wide", { ...gang, tasks: 2, estimateS: 60, team: "blue", oneZone: true }));
+      b.submit(job("j-long", { tasks: 60, estimateS: 60, types: ["small"], team: "blue" }));
+      b.submit(job("j-idle", { priority: 0, types: ["small"], team: "blue" }));
+    }
     if (step % 4 === 0) {
       b.submit(job(`j-g${n}`, { ...small, estimateS: 5, team: n % 2 ? "red" : "blue" }));
       b.submit(job(`j-s${n}`, { tasks: 6, estimateS: 5, priority: 2, types: ["small"], team: "red" }));
