What began because of its age is not stopped at once for what outranks it

The overload test, with places that come free one by one, found an array that was placed when its turn had come, stopped in the same instant for more important work, and counted as young again.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -34,6 +34,8 @@
 const SAVING_WASTE_S = 5;
 const FULLEST_S = 5;
 const AGED_PART = 4;
+/** What began because of its age is left alone so long. */
+const SPARED_MS = 60_000;
 const FAILURE_S = 20;
 
 export interface Blocked {
@@ -564,6 +566,8 @@
 
   /** Puts a task on a machine in the tables and has it recorded; it is started once that is done. */
   placeAt(job: Job, task: number, machine: Machine, attempt = this.#attempt()): Placement {
+    // Stopped at once for what outranks it, as it was, it would never get anywhere.
+    if (isAged(this.#ctx, job)) job.sparedUntil = this.#ctx.now + SPARED_MS;
     const placement: Placement = {
       job,
       task,
@@ -590,6 +594,7 @@
   /** May this placement be stopped so that the job can run? */
   #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
     const spec = victim.job.spec;
+    if (job.spec.priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
     if (spec.priority < job.spec.priority) return true;
     // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
     if (!guaranteed || spec.team === job.spec.team || spec.priority > job.spec.priority) return false;
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -65,6 +65,8 @@
   state: JobState = "active";
   /** Nothing of this job starts before this time (after failures). */
   notBefore = 0;
+  /** Until then it is not stopped for anything but production work: it waited too long to begin. */
+  sparedUntil = 0;
   /** Why some of its tasks wait, in words for the operators, as of the last round. */
   waitsFor: string | null = null;
   /** A record of its placements can't be read: nothing of it may be started, as it may be running. */
@@ -73,7 +75,7 @@
   readonly failedOn = new Set<number>();
   readonly held = new Map<number, Placement>();
   doneCount = 0;
-  /** When the last of its tasks left its machine. */
+  /** When the last of its tasks that ran left its machine. */
   lastHeldAt = Number.NEGATIVE_INFINITY;
   finishing = false;
   blockedSince: number | null = null;
@@ -126,9 +128,9 @@
     if (this.#status[placement.task] === PENDING) this.#status[placement.task] = HELD;
   }
 
-  letGo(task: number, now: number): void {
+  letGo({ task, runningSince }: Placement, now: number): void {
     this.held.delete(task);
-    this.lastHeldAt = now;
+    if (runningSince !== null) this.lastHeldAt = now;
     if (this.#status[task] === HELD) {
       this.#status[task] = PENDING;
       this.#hint = Math.min(this.#hint, task);
@@ -328,7 +330,7 @@
   unplace(placement: Placement, now: number): void {
     const { job, machine } = placement;
     if (!machine.placements.delete(placement)) return;
-    if (job.held.get(placement.task) === placement) job.letGo(placement.task, now);
+    if (job.held.get(placement.task) === placement) job.letGo(placement, now);
     this.#count(placement, -1);
   }
 
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -30,7 +30,9 @@
       for (const o of orders) {
         const known = list.find((s) => s.uid === o.uid && s.task === o.task && s.attempt === o.attempt);
         if (o.op === "start" && !known) {
-          list.push({ uid: o.uid, task: o.task, attempt: o.attempt, state: "running", until: b.now + runMs });
+          // Not all alike: places come free one by one.
+          const until = b.now + runMs + (o.attempt % 7) * 900;
+          list.push({ uid: o.uid, task: o.task, attempt: o.attempt, state: "running", until });
           if (!this.begun.has(o.uid)) this.begun.set(o.uid, b.now);
         } else if (o.op === "stop" && known) {
           known.until = 0;
