--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -265,27 +265,34 @@
    */
   #holdZone(job: Job, firm: boolean): void {
     const { now } = this.#ctx;
-    // One at a time: two gangs that each held part of a zone kept a third of the machines idle.
-    const holder = this.#holder;
-    const taken = holder && holder.job !== job && holder.until > now && holder.job.pending > 0;
-    if (taken && (holder.firm || !firm)) return;
-    this.#holder = { job, firm, until: now + HOLD_MS };
+    // One gang a zone, and only one in all that is not aged: two that each held part of a zone kept a third of the
+    // machines idle. Aged ones hold a zone each: one after the other, the last waited for minutes more.
+    const other = (zone: string) => {
+      const holder = this.#zoneHolders.get(zone);
+      return holder && holder.job !== job && holder.until > now && holder.job.pending > 0 ? holder : null;
+    };
+    if (!firm && [...this.#zoneHolders.keys()].some(other)) return;
     const free = new Map<string, Machine[]>();
     for (const machine of this.#candidates(job)) {
+      if (other(machine.zone)?.firm) continue;
       const list = free.get(machine.zone);
       if (list) list.push(machine);
       else free.set(machine.zone, [machine]);
     }
-    if (!job.spec.oneZone) {
-      for (const list of free.values()) for (const m of list) this.#hold(m, job, firm);
-      return;
+    // A zone once chosen is kept: what was gathered there would be lost with a change.
+    const kept = [...free.keys()].find((zone) => this.#zoneHolders.get(zone)?.job === job);
+    let zones = [...free.keys()];
+    if (job.spec.oneZone) {
+      const size = (zone: string) => free.get(zone)?.length ?? 0;
+      zones = kept ? [kept] : zones.sort((x, y) => size(y) - size(x)).slice(0, 1);
+    }
+    for (const zone of zones) {
+      this.#zoneHolders.set(zone, { job, firm, until: now + HOLD_MS });
+      for (const machine of free.get(zone) ?? []) this.#hold(machine, job, firm);
     }
-    let best: Machine[] = [];
-    for (const list of free.values()) if (list.length > best.length) best = list;
-    for (const machine of best) this.#hold(machine, job, firm);
   }
 
-  #holder: Reservation | null = null;
+  readonly #zoneHolders = new Map<string, Reservation>();
 
   #hold(machine: Machine, job: Job, firm: boolean): void {
     const held = machine.reserved;
@@ -602,6 +609,8 @@
     // What is within its own team's guarantee has borrowed nothing: two teams took turns stopping each other's gangs,
     // some of them twenty times.
     if (this.#guaranteed.has(victim.job)) return false;
+    // A gang that has run before has had its start: taken back again and again, the same few machines changed hands.
+    if (job.spec.shape === "gang" && Number.isFinite(job.lastHeldAt)) return false;
     // Taking back what another team has borrowed must not throw away much work.
     const ranMs = victim.runningSince === null ? 0 : this.#ctx.now - victim.runningSince;
     if (spec.checkpointS === 0 && ranMs > RECLAIM_MS) return false;
