--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,5 +1,6 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { defaultOperator, type OperatorSettings } from "../config/operator.js";
+import { Estimates } from "./estimates.js";
 import type { Directory } from "./names.js";
 import type {
   CloudAnswer,
@@ -23,6 +24,7 @@
   readonly deployment: Deployment;
   readonly directory: Directory;
   readonly random: RandomGenerator;
+  readonly estimates = new Estimates();
   #effects: Effect[] = [];
   #nextId = 1;
   readonly #stateWaiting = new Map<number, (answer: StateAnswer) => void>();
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -328,7 +328,8 @@
 
   #slotsFor({ job, count }: Blocked): number {
     if (job.spec.shape !== "array" || job.spec.estimateS <= 0) return count;
-    const want = Math.ceil(((job.pending + job.held.size) * job.spec.estimateS) / DRAIN_S);
+    const taskS = this.#ctx.estimates.of(job.spec);
+    const want = Math.ceil(((job.pending + job.held.size) * taskS) / DRAIN_S);
     return Math.max(0, Math.min(count, want - job.held.size));
   }
 
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -32,10 +32,11 @@
     else if (next === null || dueS < next) next = dueS;
   };
   // Alone on as many machines as it likes, a job takes at least one task's time.
-  if (spec.deadlineS !== null) consider(spec.deadlineS - spec.estimateS);
+  const taskS = ctx.estimates.of(spec);
+  if (spec.deadlineS !== null) consider(spec.deadlineS - taskS);
   for (const { kind, jobClass, withinS } of ctx.deployment.objectives) {
     if (jobClass !== spec.jobClass || withinS === null) continue;
-    if (kind === "finished") consider(withinS - spec.estimateS);
+    if (kind === "finished") consider(withinS - taskS);
     else if (kind === "wait" && !started) consider(withinS);
   }
   if (!missed) return 0;
@@ -75,9 +76,9 @@
   return ageS <= Math.max(GUARANTEE_S, aimS) ? 3 : 1;
 }
 
-/** Seconds of task time that are left, by the owner's estimate. */
-function leftS(job: Job): number {
-  return (job.spec.tasks - job.doneCount) * Math.max(1, job.spec.estimateS);
+/** Seconds of task time that are left, by the corrected estimate. */
+function leftS(ctx: Context, job: Job): number {
+  return (job.spec.tasks - job.doneCount) * Math.max(1, ctx.estimates.of(job.spec));
 }
 
 /**
@@ -95,7 +96,7 @@
       job,
       rank,
       late: pressure(ctx, job, ageS),
-      left: job.spec.shape === "service" ? 0 : leftS(job),
+      left: job.spec.shape === "service" ? 0 : leftS(ctx, job),
     };
   });
   keyed.sort(
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -317,6 +317,12 @@
     this.recorder.touch(job, task, false);
     switch (cause) {
       case "done":
+        // What a task took after it had saved and been stopped says nothing of the whole.
+        if (
+          placement.runningSince !== null &&
+          (job.spec.checkpointS === 0 || !Number.isFinite(job.lastHeldAt))
+        )
+          this.#ctx.estimates.observe(job.spec, (now - placement.runningSince) / 1000);
         if (job.spec.shape === "gang") {
           // If one task of a gang is done, all of them are.
           for (let i = 0; i < job.spec.tasks; i++) {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Estimates } from "../src/core/estimates.js";
 import { tokenOf } from "../src/core/tables.js";
 import { Bench, job, type Said } from "./bench.js";
 
@@ -364,3 +365,33 @@
   assert.equal(live(held, "G", "j-1").length, 1);
   assert.deepEqual(b.ops("stop", "j-1"), []);
 });
+
+test("estimates are corrected by class from what was observed", () => {
+  const estimates = new Estimates();
+  const spec = job("j-1", { estimateS: 100, jobClass: "work" });
+  assert.equal(estimates.of(spec), 100);
+  for (let i = 0; i < 30; i++) estimates.observe(spec, 200);
+  assert.ok(Math.abs(estimates.of(spec) - 200) < 10, `${estimates.of(spec)}`);
+  estimates.observe(spec, 1e9);
+  assert.ok(estimates.of(spec) < 240, "one odd task");
+  assert.equal(estimates.of(job("j-2", { estimateS: 100, jobClass: "other" })), 100);
+
+  // The order follows: the class that takes long is no longer taken for the shorter one.
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  for (let i = 0; i < 20; i++)
+    b.core.ctx.estimates.observe(job("j-0", { estimateS: 10, jobClass: "slow" }), 40);
+  b.submit(job("j-1", { tasks: 4, estimateS: 600 }));
+  settle(b, held);
+  b.submit(job("j-2", { estimateS: 10, jobClass: "slow" }));
+  b.submit(job("j-3", { estimateS: 20, jobClass: "quick" }));
+  b.pass(3000);
+  const done = held.get("A")?.[0] ?? assert.fail();
+  Object.assign(done, { state: "ended", cause: "done" });
+  b.report("A", held.get("A") ?? []);
+  b.pass(300);
+  settle(b, held);
+  assert.equal(live(held, "A", "j-3").length, 1);
+  assert.equal(live(held, "A", "j-2").length, 0);
+});
