--- /dev/null
+++ b/src/core/holds.ts
@@ -0,0 +1,76 @@
+import { add, ZERO } from "./amount.js";
+import type { Context } from "./context.js";
+import type { Job, Machine, Reservation } from "./tables.js";
+import type { Amount } from "./types.js";
+
+/** Renewed in each round for as long as the gang waits. */
+const HOLD_MS = 2000;
+
+/** What is kept for gangs that wait: places in a zone, and what is left of a team's limit. */
+export class Holds {
+  readonly #ctx: Context;
+
+  constructor(ctx: Context) {
+    this.#ctx = ctx;
+  }
+
+  /**
+   * A gang that needs several places in one zone would never get them while smaller jobs take each one
+   * that comes free: the zone that is nearest to having them is held for it, free place by free place.
+   */
+  holdZone(job: Job, firm: boolean, candidates: readonly Machine[]): void {
+    const { now } = this.#ctx;
+    // One gang a zone, and only one in all that is not aged: two that each held part of a zone kept a third of the
+    // machines idle. Aged ones hold a zone each: one after the other, the last waited for minutes more.
+    const other = (zone: string) => {
+      const holder = this.#zoneHolders.get(zone);
+      return holder && holder.job !== job && holder.until > now && holder.job.pending > 0 ? holder : null;
+    };
+    if (!firm && [...this.#zoneHolders.keys()].some(other)) return;
+    const free = new Map<string, Machine[]>();
+    for (const machine of candidates) {
+      if (other(machine.zone)?.firm) continue;
+      const list = free.get(machine.zone);
+      if (list) list.push(machine);
+      else free.set(machine.zone, [machine]);
+    }
+    // A zone once chosen is kept: what was gathered there would be lost with a change.
+    const kept = [...free.keys()].find((zone) => this.#zoneHolders.get(zone)?.job === job);
+    let zones = [...free.keys()];
+    if (job.spec.oneZone) {
+      const size = (zone: string) => free.get(zone)?.length ?? 0;
+      zones = kept ? [kept] : zones.sort((x, y) => size(y) - size(x)).slice(0, 1);
+    }
+    for (const zone of zones) {
+      this.#zoneHolders.set(zone, { job, firm, until: now + HOLD_MS });
+      for (const machine of free.get(zone) ?? []) this.#hold(machine, job, firm);
+    }
+  }
+
+  readonly #zoneHolders = new Map<string, Reservation>();
+
+  #hold(machine: Machine, job: Job, firm: boolean): void {
+    const held = machine.reserved;
+    if (held && held.until > this.#ctx.now && held.job !== job && (held.firm || !firm)) return;
+    const until = this.#ctx.now + HOLD_MS;
+    machine.reserved = { job, firm, until };
+    job.reservesUntil = until;
+  }
+
+  /** What is left of a team's limit is kept for an aged gang that needs more of it. */
+  readonly #limitHolders = new Map<string, { job: Job; until: number }>();
+
+  holdLimit(job: Job): void {
+    const { now } = this.#ctx;
+    const holder = this.#limitHolders.get(job.spec.team);
+    if (holder && holder.job !== job && holder.until > now && holder.job.pending > 0) return;
+    this.#limitHolders.set(job.spec.team, { job, until: now + HOLD_MS });
+  }
+
+  keptOfLimit(job: Job): Amount {
+    const holder = this.#limitHolders.get(job.spec.team);
+    if (!holder || holder.job === job || job.spec.shape === "service") return ZERO;
+    if (holder.until <= this.#ctx.now || holder.job.pending === 0) return ZERO;
+    return add(ZERO, holder.job.spec.need, holder.job.pending);
+  }
+}
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -433,7 +433,7 @@
       for (const placement of [...machine.placements]) {
         const { spec } = placement.job;
         if (placement.stop || spec.shape === "service") continue;
-        if (spec.checkpointS > 0) this.scheduler.stopOrderly(placement, "its machine is going");
+        if (spec.checkpointS > 0) this.scheduler.preemption.stopOrderly(placement, "its machine is going");
       }
       if (machine.noticeUntil !== null || machine.mode === "drain") {
         for (const placement of [...machine.placements]) {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,8 +1,10 @@
 import { add, fits, times, ZERO } from "./amount.js";
 import type { Budget, Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
+import { Holds } from "./holds.js";
 import type { Reigning } from "./leadership.js";
 import { inOrder, isAged, isPressed, waitAimS } from "./order.js";
+import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
 import {
   attemptOf,
@@ -10,24 +12,18 @@
   type Job,
   type Machine,
   type Placement,
-  type Reservation,
   suitsType,
   type Tables,
 } from "./tables.js";
 import type { Amount } from "./types.js";
+import { Vain } from "./vain.js";
 
-const RESERVE_MS = 15_000;
-/** How long a job for which nothing could be stopped waits before that is looked into again. */
-const SEEK_AGAIN_MS = 500;
-const RECLAIM_MS = 5000;
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
 /** What a free machine more in a zone weighs, in seconds of delay, when a gang's zone is chosen. */
 const ZONE_FILL_S = 0.5;
 /** Boots take up to half as long again as the catalogue says. */
 const BOOT_PATIENCE = 1.5;
-/** Renewed in each round for as long as the gang waits. */
-const HOLD_MS = 2000;
 /** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
 const GPU_WASTE_S = 60;
 /** The same for work that can save: it leaves the plain machines to what can go nowhere else. */
@@ -57,11 +53,11 @@
   #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
   /** The machines that can take work, by type, as of this call: a round asks for them once a job. */
   #open = new Map<string, Machine[]>();
-  /** Demands that found no place in this call: what asks for as much or more need not look again. */
+  /** The last job's choice of machines was narrowed by what is its own: its image, its patience, its failures. */
   #narrowed = false;
-  /** The jobs within their teams' guarantees, as of this round. */
-  #guaranteed: ReadonlySet<Job> = new Set();
-  readonly #vain = new Map<string, { need: Amount; tasks: number }[]>();
+  readonly #vain: Vain;
+  readonly #holds: Holds;
+  readonly preemption: Preemption;
   /** Work of the last full round that found no place. */
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
@@ -75,6 +71,9 @@
     this.#tables = tables;
     this.#fleet = fleet;
     this.#recorder = recorder;
+    this.#vain = new Vain(ctx);
+    this.#holds = new Holds(ctx);
+    this.preemption = new Preemption(ctx, tables, fleet, (job, below) => this.#candidates(job, below));
   }
 
   /** False when the time was spent before the end: call again. */
@@ -108,44 +107,13 @@
     }
   }
 
-  /** The kind of place a job asks for: jobs of one kind differ only in how much they need of it. */
-  #kindOf({ spec }: Job): string {
-    const { types, zone, spot, priority, shape, oneZone, spread, checkpointS } = spec;
-    return [
-      types?.join() ?? "*",
-      zone ?? "*",
-      spot,
-      priority,
-      shape,
-      oneZone,
-      spread,
-      checkpointS > 0,
-    ].join();
-  }
-
-  #isVain(job: Job, tasks: number): boolean {
-    if (job.failedOn.size > 0 || job.reservesUntil > this.#ctx.now) return false;
-    const { need } = job.spec;
-    return (this.#vain.get(this.#kindOf(job)) ?? []).some((v) => tasks >= v.tasks && fits(v.need, need));
-  }
-
-  #wasVain(job: Job, tasks: number): void {
-    // What narrows this job's choice alone tells nothing of others: its fellow tasks, its image, its patience.
-    if (this.#narrowed || (job.held.size > 0 && (job.spec.spread || job.spec.oneZone))) return;
-    const kind = this.#kindOf(job);
-    const entry = { need: job.spec.need, tasks };
-    const known = this.#vain.get(kind);
-    if (known) known.push(entry);
-    else this.#vain.set(kind, [entry]);
-  }
-
   #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
       .filter((job) => job.state === "active" && !job.complete)
       .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
     const guaranteed = this.guaranteedJobs(jobs);
-    this.#guaranteed = guaranteed;
+    this.preemption.guaranteed = guaranteed;
     const waiting = jobs.filter((job) => {
       if (job.pending === 0 || job.finishing) return false;
       if (job.unreadable) this.#waits(job, "a record of it can't be read");
@@ -203,7 +171,7 @@
       if (allowed < job.spec.tasks) {
         this.#waits(job, "the limit of its team");
         // Smaller jobs would take each bit of the team's limit that comes free, for ever.
-        if (aged) this.#holdLimit(job);
+        if (aged) this.#holds.holdLimit(job);
         return;
       }
       this.#serveGang(entry);
@@ -226,14 +194,14 @@
     const { now } = this.#ctx;
     const withinS = waitAimS(this.#ctx, job);
     const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
-    const vain = this.#isVain(job, job.spec.tasks);
+    const vain = this.#vain.has(job, job.spec.tasks);
     if (leftS > 0) {
       const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
       if (!vain && this.#placeGang(job, quick)) return;
       if ((job.awaitedUntil ?? 0) > now) return;
       if (
         job.awaitedUntil === null &&
-        this.#makeRoom(job, job.spec.tasks, entry.guaranteed, quick, null) > 0
+        this.preemption.makeRoom(job, job.spec.tasks, entry.guaranteed, quick, null) > 0
       ) {
         job.awaitedUntil = job.makingRoomUntil;
         return;
@@ -241,7 +209,7 @@
     }
     if (!vain) {
       if (this.#placeGang(job, () => true)) return;
-      this.#wasVain(job, job.spec.tasks);
+      if (!this.#narrowed) this.#vain.add(job, job.spec.tasks);
     }
     this.#noPlace(entry, job.spec.tasks);
   }
@@ -252,78 +220,18 @@
     this.#waits(job, job.makingRoomUntil > this.#ctx.now ? "room is being made" : "no machine has room");
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
     if (job.spec.priority >= 2 || entry.guaranteed) {
-      this.#makeRoom(job, count, entry.guaranteed, () => true, null);
+      this.preemption.makeRoom(job, count, entry.guaranteed, () => true, null);
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
     const aged = isAged(this.#ctx, job);
-    if (aged || isPressed(this.#ctx, job)) this.#holdZone(job, aged);
-  }
-
-  /**
-   * A gang that needs several places in one zone would never get them while smaller jobs take each one
-   * that comes free: the zone that is nearest to having them is held for it, free place by free place.
-   */
-  #holdZone(job: Job, firm: boolean): void {
-    const { now } = this.#ctx;
-    // One gang a zone, and only one in all that is not aged: two that each held part of a zone kept a third of the
-    // machines idle. Aged ones hold a zone each: one after the other, the last waited for minutes more.
-    const other = (zone: string) => {
-      const holder = this.#zoneHolders.get(zone);
-      return holder && holder.job !== job && holder.until > now && holder.job.pending > 0 ? holder : null;
-    };
-    if (!firm && [...this.#zoneHolders.keys()].some(other)) return;
-    const free = new Map<string, Machine[]>();
-    for (const machine of this.#candidates(job)) {
-      if (other(machine.zone)?.firm) continue;
-      const list = free.get(machine.zone);
-      if (list) list.push(machine);
-      else free.set(machine.zone, [machine]);
-    }
-    // A zone once chosen is kept: what was gathered there would be lost with a change.
-    const kept = [...free.keys()].find((zone) => this.#zoneHolders.get(zone)?.job === job);
-    let zones = [...free.keys()];
-    if (job.spec.oneZone) {
-      const size = (zone: string) => free.get(zone)?.length ?? 0;
-      zones = kept ? [kept] : zones.sort((x, y) => size(y) - size(x)).slice(0, 1);
-    }
-    for (const zone of zones) {
-      this.#zoneHolders.set(zone, { job, firm, until: now + HOLD_MS });
-      for (const machine of free.get(zone) ?? []) this.#hold(machine, job, firm);
-    }
-  }
-
-  readonly #zoneHolders = new Map<string, Reservation>();
-
-  #hold(machine: Machine, job: Job, firm: boolean): void {
-    const held = machine.reserved;
-    if (held && held.until > this.#ctx.now && held.job !== job && (held.firm || !firm)) return;
-    const until = this.#ctx.now + HOLD_MS;
-    machine.reserved = { job, firm, until };
-    job.reservesUntil = until;
-  }
-
-  /** What is left of a team's limit is kept for an aged gang that needs more of it. */
-  readonly #limitHolders = new Map<string, { job: Job; until: number }>();
-
-  #holdLimit(job: Job): void {
-    const { now } = this.#ctx;
-    const holder = this.#limitHolders.get(job.spec.team);
-    if (holder && holder.job !== job && holder.until > now && holder.job.pending > 0) return;
-    this.#limitHolders.set(job.spec.team, { job, until: now + HOLD_MS });
-  }
-
-  #keptOfLimit(job: Job): Amount {
-    const holder = this.#limitHolders.get(job.spec.team);
-    if (!holder || holder.job === job || job.spec.shape === "service") return ZERO;
-    if (holder.until <= this.#ctx.now || holder.job.pending === 0) return ZERO;
-    return add(ZERO, holder.job.spec.need, holder.job.pending);
+    if (aged || isPressed(this.#ctx, job)) this.#holds.holdZone(job, aged, this.#candidates(job));
   }
 
   /** How many more tasks of this job its team's limit allows. */
   withinLimit(job: Job): number {
     const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
     if (!team) return 0;
-    const use = add(this.#tables.teamUse.get(team.name) ?? ZERO, this.#keptOfLimit(job));
+    const use = add(this.#tables.teamUse.get(team.name) ?? ZERO, this.#holds.keptOfLimit(job));
     const { need } = job.spec;
     let n = Number.POSITIVE_INFINITY;
     if (need.cpu > 0) n = Math.min(n, Math.floor((team.limit.cpu - use.cpu) / need.cpu));
@@ -475,18 +383,18 @@
     if (withinS === null) return this.#fillAny(job, count);
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
-    let placed = this.#isVain(job, 1) ? 0 : this.#fill(job, count, quick);
+    let placed = this.#vain.has(job, 1) ? 0 : this.#fill(job, count, quick);
     if (placed < count && job.spec.priority >= 2) {
-      placed += this.#makeRoom(job, count - placed, false, quick, withinS);
+      placed += this.preemption.makeRoom(job, count - placed, false, quick, withinS);
     }
     if (placed < count) placed += this.#fillAny(job, count - placed);
     return placed;
   }
 
   #fillAny(job: Job, count: number): number {
-    if (this.#isVain(job, 1)) return 0;
+    if (this.#vain.has(job, 1)) return 0;
     const placed = this.#fill(job, count, () => true);
-    if (placed < count) this.#wasVain(job, 1);
+    if (placed < count && !this.#narrowed) this.#vain.add(job, 1);
     return placed;
   }
 
@@ -597,149 +505,4 @@
     this.#recorder.touch(job, task, true);
     return placement;
   }
-
-  /** May this placement be stopped so that the job can run? */
-  #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
-    const spec = victim.job.spec;
-    if (job.spec.priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
-    if (spec.priority < job.spec.priority) return true;
-    // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
-    if (!guaranteed || spec.team === job.spec.team || spec.priority > job.spec.priority) return false;
-    if (spec.priority === 3) return false;
-    // What is within its own team's guarantee has borrowed nothing: two teams took turns stopping each other's gangs,
-    // some of them twenty times.
-    if (this.#guaranteed.has(victim.job)) return false;
-    // A gang that has run before has had its start: taken back again and again, the same few machines changed hands.
-    if (job.spec.shape === "gang" && Number.isFinite(job.lastHeldAt)) return false;
-    // Taking back what another team has borrowed must not throw away much work.
-    const ranMs = victim.runningSince === null ? 0 : this.#ctx.now - victim.runningSince;
-    if (spec.checkpointS === 0 && ranMs > RECLAIM_MS) return false;
-    const team = this.#ctx.deployment.teams.find((t) => t.name === spec.team);
-    const use = this.#tables.teamUse.get(spec.team);
-    return (
-      team !== undefined &&
-      use !== undefined &&
-      (use.cpu > team.guarantee.cpu || use.gpu > team.guarantee.gpu)
-    );
-  }
-
-  /**
-   * Stops lesser work so that up to `count` tasks of the job find room; returns for how many. With `hurryS` work that
-   * takes longer than that to save is not waited for.
-   */
-  #makeRoom(
-    job: Job,
-    count: number,
-    guaranteed: boolean,
-    suits: (machine: Machine) => boolean,
-    hurryS: number | null,
-  ): number {
-    const { now } = this.#ctx;
-    if (job.makingRoomUntil > now) return 0;
-    // What can't be stopped now can hardly be in the next round: looking costs more than all the rest of one.
-    const sinceMs = now - job.roomSoughtAt;
-    if (sinceMs > 0 && sinceMs < SEEK_AGAIN_MS) return 0;
-    job.roomSoughtAt = now;
-    const { need, tasks, oneZone, spread, shape } = job.spec;
-    const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
-    for (const machine of this.#candidates(job, guaranteed ? job.spec.priority + 1 : job.spec.priority)) {
-      if (!suits(machine)) continue;
-      const plan = this.#plan(job, machine, need, guaranteed);
-      if (plan) plans.push({ machine, ...plan });
-    }
-    plans.sort((a, b) => a.cost / a.slots - b.cost / b.slots);
-    const zones = oneZone ? [...new Set(plans.map((p) => p.machine.zone))] : [null];
-    for (const zone of zones) {
-      let slots = 0;
-      const inZone = new Map<string, number>();
-      const chosen: typeof plans = [];
-      for (const plan of plans) {
-        if (slots >= count) break;
-        if (zone !== null && plan.machine.zone !== zone) continue;
-        let n = Math.min(plan.slots, count - slots);
-        if (spread) {
-          const there = (inZone.get(plan.machine.zone) ?? 0) + job.inZone(plan.machine.zone);
-          n = Math.min(n, Math.ceil(tasks / 2) - there);
-        }
-        if (n <= 0) continue;
-        inZone.set(plan.machine.zone, (inZone.get(plan.machine.zone) ?? 0) + n);
-        slots += n;
-        chosen.push(plan);
-      }
-      if (slots === 0 || (shape === "gang" && slots < tasks)) continue;
-      let graceS = 0;
-      for (const { machine, victims } of chosen) {
-        machine.reserved = { job, firm: false, until: now + RESERVE_MS };
-        job.reservesUntil = now + RESERVE_MS;
-        for (const victim of victims) {
-          const { saveS, checkpointS } = victim.job.spec;
-          if (hurryS !== null && checkpointS > 0 && saveS > hurryS && victim.job.spec.shape !== "gang") {
-            this.#fleet.stop(victim, 0, `room for ${job.uid}`);
-            continue;
-          }
-          graceS = Math.max(graceS, saveS);
-          this.stopOrderly(victim, `room for ${job.uid}`);
-        }
-      }
-      job.makingRoomUntil = now + graceS * 1000 + this.#ctx.deployment.reportS * 2000;
-      return slots;
-    }
-    return 0;
-  }
-
-  /** The cheapest tasks to stop on this machine so that at least one task of the job fits. */
-  #plan(
-    job: Job,
-    machine: Machine,
-    need: Amount,
-    guaranteed: boolean,
-  ): { slots: number; victims: Placement[]; cost: number } | null {
-    const room = machine.room();
-    if (fits(need, room)) return { slots: times(need, room), victims: [], cost: 0 };
-    const victims: Placement[] = [];
-    let cost = 0;
-    const list = [...machine.placements]
-      .filter((p) => p.job !== job && this.#mayStop(p, job, guaranteed))
-      .map((p) => ({ p, cost: this.#lossOf(p) }))
-      .sort((a, b) => a.p.job.spec.priority - b.p.job.spec.priority || a.cost - b.cost);
-    let { cpu, gpu, ram } = room;
-    for (const { p, cost: loss } of list) {
-      // Stopping a task that frees nothing that is short helps nobody.
-      const helps =
-        (cpu < need.cpu && p.job.spec.need.cpu > 0) ||
-        (gpu < need.gpu && p.job.spec.need.gpu > 0) ||
-        (ram < need.ram && p.job.spec.need.ram > 0);
-      if (!helps) continue;
-      victims.push(p);
-      cost += p.stop ? 0 : loss;
-      cpu += p.job.spec.need.cpu;
-      gpu += p.job.spec.need.gpu;
-      ram += p.job.spec.need.ram;
-      if (fits(need, { cpu, gpu, ram })) return { slots: times(need, { cpu, gpu, ram }), victims, cost };
-    }
-    return null;
-  }
-
-  /** The work, in CPU seconds, that stopping this task throws away. */
-  #lossOf(placement: Placement): number {
-    const { spec } = placement.job;
-    const ran = placement.runningSince === null ? 0 : (this.#ctx.now - placement.runningSince) / 1000;
-    const lost = spec.checkpointS > 0 ? spec.saveS : ran;
-    const tasks = spec.shape === "gang" ? spec.tasks : 1;
-    return ((lost + 1) * tasks * (spec.need.cpu + spec.need.gpu * 10)) / 1000;
-  }
-
-  /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
-  stopOrderly(placement: Placement, why: string): void {
-    this.#ctx.log("debug", "task stopped", {
-      job: placement.job.uid,
-      task: placement.task,
-      machine: placement.machine.name,
-      why,
-    });
-    const { job } = placement;
-    const graceS = job.spec.checkpointS > 0 ? Math.ceil(job.spec.saveS) + 1 : 0;
-    const group = job.spec.shape === "gang" ? [...job.held.values()] : [placement];
-    for (const member of group) this.#fleet.stop(member, graceS, why);
-  }
 }
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -160,7 +160,7 @@
       machine.retiring = true;
       for (const placement of [...machine.placements]) {
         if (placement.job.spec.checkpointS > 0 && !placement.stop && !hasAim(this.#ctx, placement.job)) {
-          this.#scheduler.stopOrderly(placement, "its machine is not needed");
+          this.#scheduler.preemption.stopOrderly(placement, "its machine is not needed");
         }
       }
     }
