--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -617,3 +617,10 @@
   const queue = b.core.status().queue as { job: string; why: string }[];
   assert.equal(queue.find((q) => q.job === "j-1")?.why, "no machine has room");
 });
+
+test("a machine is on record no later than the first placement on it", () => {
+  const { b } = running();
+  const bucket = b.state.items.get("m/0");
+  assert.ok(JSON.stringify(bucket?.value).includes('"A"'));
+  assert.equal(bucket?.version, b.state.items.get("p/j-1/0")?.version, "in the same transaction");
+});
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Job } from "../src/core/tables.js";
+import { Vain } from "../src/core/vain.js";
 import { Bench, job, type Said } from "./bench.js";
 
 /** Lets workers do what they are told at once; reports every other second; tasks of an array take `runS`. */
@@ -144,3 +146,22 @@
   }
   assert.ok(most > 0 && most <= 10, `${most} at once`);
 });
+
+test("what found no place is not looked for again by as much or more, unless places are kept for it", () => {
+  const { ctx } = new Bench().core;
+  const vain = new Vain(ctx);
+  const make = (uid: string, cpu: number, tasks = 1) =>
+    new Job(0, job(uid, { shape: "gang", tasks, need: { cpu, gpu: 0, ram: 0 } }), 0, 1);
+  vain.add(make("j-1", 2000, 2), 2);
+  assert.equal(vain.has(make("j-2", 3000, 2), 2), true);
+  assert.equal(vain.has(make("j-3", 1000, 2), 2), false, "less may fit");
+  assert.equal(vain.has(make("j-4", 2000), 1), false, "fewer may fit");
+  const kept = make("j-5", 3000, 2);
+  kept.reservesUntil = ctx.now + 1;
+  assert.equal(vain.has(kept, 2), false);
+  const fails = make("j-6", 3000, 2);
+  fails.failedOn.add(1);
+  assert.equal(vain.has(fails, 2), false, "its choice is another one");
+  vain.clear();
+  assert.equal(vain.has(make("j-2", 3000, 2), 2), false);
+});
