--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -337,7 +337,8 @@
       const job = this.#tables.jobs.get(entry.job);
       const placement = job?.held.get(entry.task);
       const ours = placement?.machine === machine && placement.attempt === entry.attempt;
-      if (ours) continue;
+      // What runs of a job whose record can't be read is ours for all we know.
+      if (ours || (job?.unreadable && job.state === "active")) continue;
       const { job: ix, task, attempt } = entry;
       if (entry.state !== "ended") {
         orders.push({ op: "stop", job: ix, task, attempt, graceS: 0 });
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -395,3 +395,51 @@
   assert.equal(live(held, "A", "j-3").length, 1);
   assert.equal(live(held, "A", "j-2").length, 0);
 });
+
+test("a gang that has waited too long has places in a zone, and what is left of its team's limit, kept for it", () => {
+  const wide = {
+    shape: "gang",
+    priority: 2,
+    types: ["gpu"],
+    need: { cpu: 6000, gpu: 2000, ram: 8000 },
+  } as const;
+  for (const [what, machines, teams] of [
+    ["places", ["G0", "G1"], ["red", "red"]],
+    ["limit", ["G0", "G1", "G2", "G3"], ["blue", "blue"]],
+  ] as const) {
+    const b = new Bench().lead();
+    const held = new Map<string, Said[]>(machines.map((name) => [name, []]));
+    const more = Object.fromEntries(machines.map((name) => [name, GPU]));
+    for (const name of machines) b.report(name, [], GPU);
+    b.submit(job("j-1", { ...wide, tasks: 1, team: teams[0] }));
+    settle(b, held, more);
+    b.submit(job("j-2", { ...wide, tasks: 2, team: "blue", oneZone: true }));
+    beat(b, held, more, 75);
+    // Smaller and just come: it would take the one place, or the one part of the limit, that is left.
+    b.submit(job("j-3", { ...wide, tasks: 1, team: teams[1] }));
+    beat(b, held, more, 10);
+    const runs = (uid: string) => [...held.keys()].some((name) => live(held, name, uid).length > 0);
+    assert.equal(runs("j-1"), true);
+    assert.equal(runs("j-3"), false, what);
+  }
+});
+
+test("what began because of its age is not stopped at once, save for production work", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { tasks: 4, priority: 2 }));
+  settle(b, held);
+  b.submit(job("j-2", { priority: 0 }));
+  beat(b, held, {}, 75);
+  b.submit(job("j-3", { tasks: 4, priority: 2 }));
+  const ended = held.get("A")?.[0] ?? assert.fail();
+  Object.assign(ended, { state: "ended", cause: "done" });
+  beat(b, held, {}, 3);
+  assert.equal(live(held, "A", "j-2").length, 1, "its turn has come, before what outranks it");
+  beat(b, held, {}, 5);
+  assert.equal(live(held, "A", "j-2").length, 1);
+  b.submit(job("j-4", { priority: 3, shape: "service", estimateS: 0 }));
+  beat(b, held, {}, 3);
+  assert.equal(live(held, "A", "j-4").length, 1);
+});
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -584,7 +584,7 @@
 });
 
 test("records that can't be read are told of and kept, and nothing they may speak of is started", () => {
-  const { b: old } = running();
+  const { b: old, attempt } = running();
   old.submit(job("j-2"));
   const put = (key: string, value: unknown) =>
     old.state.run({ t: "txn", conditions: [], changes: [{ put: key, value }] }, old.now);
@@ -599,6 +599,10 @@
   assert.ok(b.core.reign?.fleet.loaded);
   assert.ok(b.faults.length >= 3 && b.faults.every((text) => text === "a record can't be read"));
   b.report("B", [], { zone: "b" });
+  const runs: Said = { uid: "j-1", task: 0, attempt, state: "running" };
+  b.report("A", [runs], { token: 1 });
+  b.pass(1000);
+  assert.deepEqual(b.report("A", [runs]), { t: "orders", token: 2, orders: [] }, "and what runs is let run");
   b.pass(60_000);
   b.report("B", [], { zone: "b" });
   b.pass(500);
