--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -123,7 +123,6 @@
 
 test("a fleet's machines are recorded many to a key, and a new leader of the largest fleet is soon ready", () => {
   const b = new Bench().lead();
-  b.core.directory.machines.intern("none");
   const names = Array.from({ length: 1000 }, (_, i) => `M${i}`);
   const fleet = new Fleet(b, names);
   for (let i = 0; i < 20; i++) b.submit(job(`j-${i}`, { tasks: 1, estimateS: 600 }));
