Direct commands reach every machine of a fleet larger than the socket pool

Cause: http.Agent with maxTotalSockets gives up no idle connection. With 192 (290) sockets for 624 machines that keep theirs open, calls to all others waited until they timed out; orders came with the next report only. Shown by a script against stand-ins (third host of a pool of two: 6 s), and by a test that fails on the former pool.

Also: shares of sockets derive from max_connections and leave a part of the listener to probes and users; the accept queue fits a whole fleet.

--- a/src/shell/http-client.ts
+++ b/src/shell/http-client.ts
@@ -1,4 +1,5 @@
 import http from "node:http";
+import type { Socket } from "node:net";
 import type { Endpoint } from "../config/settings.js";
 import type { HttpCall } from "../protocol/cloud.js";
 
@@ -9,26 +10,70 @@
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Calls one outside service; every call is answered exactly once, with null when nothing usable came in time. */
+/**
+ * Calls outside services; every call is answered exactly once, with null when nothing usable came in time. Connections
+ * are kept for the next call, up to a bound for all hosts together: beyond it the one that has been idle longest is given up.
+ * An `http.Agent` with `maxTotalSockets` gives up none: a fleet larger than its bound filled it with idle connections, and
+ * calls to all other machines waited in vain.
+ */
 export class HttpClient {
   readonly #agent: http.Agent;
+  readonly #maxTotal: number;
+  /** Open connections, the longest unused first, and whether a call is on them. */
+  readonly #sockets = new Map<Socket, boolean>();
+  /** Calls that have no connection yet. */
+  #starting = 0;
 
-  constructor(maxSocketsPerHost: number, maxTotalSockets: number) {
+  /** Calls beyond `maxPerHost` queue; calls to another host beyond `maxTotal` count as unanswered at once. */
+  constructor(maxPerHost: number, maxTotal = Number.POSITIVE_INFINITY) {
+    this.#maxTotal = maxTotal;
     this.#agent = new http.Agent({
       keepAlive: true,
-      maxSockets: maxSocketsPerHost,
-      maxTotalSockets,
-      maxFreeSockets: maxSocketsPerHost,
+      maxSockets: maxPerHost,
+      maxFreeSockets: maxPerHost,
       scheduling: "lifo",
     });
   }
 
+  get open(): number {
+    return this.#sockets.size;
+  }
+
+  /** Sees to it that a call may open a connection; false if every one is in use. */
+  #makeRoom(): boolean {
+    if (this.#sockets.size + this.#starting < this.#maxTotal) return true;
+    for (const [socket, busy] of this.#sockets) {
+      if (busy) continue;
+      this.#sockets.delete(socket);
+      socket.destroy();
+      return true;
+    }
+    return false;
+  }
+
+  #hasIdle({ host, port }: Endpoint): boolean {
+    return (this.#agent.freeSockets[this.#agent.getName({ host, port })]?.length ?? 0) > 0;
+  }
+
+  #use(socket: Socket): void {
+    if (!this.#sockets.delete(socket)) socket.once("close", () => this.#sockets.delete(socket));
+    this.#sockets.set(socket, true);
+  }
+
   call(to: Endpoint, call: HttpCall, timeoutMs: number, then: (answer: HttpAnswer | null) => void): void {
+    if (!this.#hasIdle(to) && !this.#makeRoom()) {
+      setImmediate(() => then(null));
+      return;
+    }
+    let socket: Socket | null = null;
+    this.#starting++;
     let over = false;
     const finish = (answer: HttpAnswer | null) => {
       if (over) return;
       over = true;
       clearTimeout(timer);
+      if (!socket) this.#starting--;
+      else if (this.#sockets.has(socket)) this.#sockets.set(socket, false);
       then(answer);
     };
     const payload = call.body === undefined ? undefined : JSON.stringify(call.body);
@@ -60,6 +105,12 @@
       request.destroy();
       finish(null);
     }, timeoutMs);
+    request.on("socket", (given) => {
+      if (over) return;
+      socket = given;
+      this.#starting--;
+      this.#use(given);
+    });
     request.on("error", () => finish(null));
     request.end(payload);
   }
--- a/src/shell/loop.ts
+++ b/src/shell/loop.ts
@@ -17,6 +17,7 @@
 import { renderMetrics } from "./metrics.js";
 import { CloudClient, StateClient, WorkerClient } from "./outside.js";
 import { Peers } from "./peers.js";
+import { shareSockets } from "./sockets.js";
 
 const TICK_MS = 100;
 const MAX_WAITING = 300;
@@ -50,7 +51,8 @@
     this.#controller = new Controller(settings.deployment, identity);
     this.#state = new StateClient(settings.state);
     this.#cloud = new CloudClient(settings.cloud);
-    this.#workers = new WorkerClient(this.#controller.directory, Math.floor(settings.maxConnections * 0.15));
+    const { workersOut } = shareSockets(settings.maxConnections);
+    this.#workers = new WorkerClient(this.#controller.directory, workersOut);
     this.#peers = new Peers(settings, {
       link: (node, up) => {
         this.#push({ t: "peerLink", node, up });
--- a/src/shell/outside.ts
+++ b/src/shell/outside.ts
@@ -12,8 +12,8 @@
 /** The state service. Long-held follows have sockets of their own, so that they never delay a call. */
 export class StateClient {
   readonly #at: Endpoint;
-  readonly #calls = new HttpClient(24, 24);
-  readonly #follows = new HttpClient(4, 4);
+  readonly #calls = new HttpClient(24);
+  readonly #follows = new HttpClient(4);
 
   constructor(at: Endpoint) {
     this.#at = at;
@@ -29,7 +29,7 @@
 
 export class CloudClient {
   readonly #at: Endpoint;
-  readonly #client = new HttpClient(8, 8);
+  readonly #client = new HttpClient(8);
 
   constructor(at: Endpoint) {
     this.#at = at;
--- a/src/shell/serve.ts
+++ b/src/shell/serve.ts
@@ -3,6 +3,7 @@
 import { createServer } from "./api.js";
 import { openLog } from "./log.js";
 import { Loop } from "./loop.js";
+import { shareSockets } from "./sockets.js";
 
 /** Runs a node until it is killed. */
 export function serve(configPath: string): void {
@@ -19,9 +20,12 @@
     process.exit(1);
   };
   const loop = new Loop(settings, identity, log);
-  const server = createServer(loop, settings.maxConnections);
+  const shares = shareSockets(settings.maxConnections);
+  const server = createServer(loop, shares);
   server.on("error", failed);
-  server.listen(settings.listen.port, settings.listen.host, () => {
+  // A whole fleet may connect at once: Node's own default would let 511 of them wait.
+  const { host, port } = settings.listen;
+  server.listen({ host, port, backlog: shares.inbound }, () => {
     log.info({ listen: settings.listen, started_ms: Math.round(performance.now()) }, "started");
   });
   loop.start(failed);
--- /dev/null
+++ b/src/shell/sockets.ts
@@ -0,0 +1,28 @@
+/** What a node's sockets are for: bounds that together stay within what the settings allow it. */
+export interface SocketShares {
+  /** Connections that users, workers, probes and operators may have open here; beyond it they are turned away. */
+  readonly inbound: number;
+  /** How many of those may be workers': the rest is for probes and users. */
+  readonly workersIn: number;
+  /** Connections to workers, for direct commands. */
+  readonly workersOut: number;
+}
+
+/** State service, cloud and peers, with one spare each for those that are being closed; listeners and the like. */
+const FIXED = 96;
+const WORKERS_OUT_PART = 0.1;
+const OTHERS_IN_PART = 0.08;
+const OTHERS_IN_LEAST = 8;
+const LEAST = 8;
+
+/**
+ * Nearly all go to the listener: after a restart one node may hold the whole fleet for a while. Direct commands need few,
+ * as the connection that has been idle longest makes way for another machine's.
+ */
+export function shareSockets(maxConnections: number): SocketShares {
+  const free = Math.max(0, maxConnections - Math.min(FIXED, Math.floor(maxConnections / 3)));
+  const workersOut = Math.max(LEAST, Math.floor(free * WORKERS_OUT_PART));
+  const inbound = Math.max(2 * LEAST, free - workersOut);
+  const others = Math.max(OTHERS_IN_LEAST, Math.floor(inbound * OTHERS_IN_PART));
+  return { inbound, workersIn: Math.max(1, inbound - others), workersOut };
+}
--- a/test/door.test.ts
+++ b/test/door.test.ts
@@ -10,6 +10,7 @@
 import { decodeStateAnswer } from "../src/protocol/state.js";
 import { decodeReport, encodeOrders } from "../src/protocol/workers.js";
 import { createServer, type Desk } from "../src/shell/api.js";
+import { shareSockets } from "../src/shell/sockets.js";
 
 const JOB = {
   uid: "j-000412",
@@ -195,7 +196,7 @@
 
 test("the API answers bad input with 4xx at no cost, and sheds what it can't take at once", async () => {
   const desk = new FakeDesk();
-  const server = createServer(desk, 100);
+  const server = createServer(desk, shareSockets(100));
   await new Promise<void>((listening) => server.listen(0, "127.0.0.1", listening));
   const { port } = server.address() as AddressInfo;
   const ask = async (method: string, path: string, body?: string) => {
--- /dev/null
+++ b/test/sockets.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { createServer, type Desk } from "../src/shell/api.js";
+import { type HttpAnswer, HttpClient } from "../src/shell/http-client.js";
+import { shareSockets } from "../src/shell/sockets.js";
+
+const LOOPBACK = "127.0.0.1";
+
+async function listen(server: http.Server): Promise<number> {
+  await new Promise<void>((listening) => server.listen(0, LOOPBACK, listening));
+  return (server.address() as AddressInfo).port;
+}
+
+function stop(server: http.Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+function call(client: HttpClient, port: number, path = "/"): Promise<HttpAnswer | null> {
+  return new Promise((then) =>
+    client.call({ host: LOOPBACK, port }, { method: "POST", path, body: {} }, 2000, then),
+  );
+}
+
+test("the shares of a node's sockets stay within its limit, and one node can hold the fleet it is meant for", () => {
+  for (const limit of [64, 400, 1200, 1282, 1936, 10_000]) {
+    const { inbound, workersIn, workersOut } = shareSockets(limit);
+    assert.ok(inbound + workersOut < limit, `${limit}: ${inbound} + ${workersOut}`);
+    assert.ok(workersIn < inbound && workersOut >= 1);
+  }
+  assert.ok(shareSockets(1282).workersIn >= 940);
+  assert.ok(shareSockets(1936).workersIn >= 940);
+});
+
+test("more hosts than connections: each call is answered, the longest idle connection makes way", async () => {
+  const servers = Array.from({ length: 6 }, () => http.createServer((_req, res) => res.end("{}")));
+  const client = new HttpClient(1, 2);
+  try {
+    const ports: number[] = [];
+    for (const server of servers) ports.push(await listen(server));
+    for (let round = 0; round < 3; round++) {
+      for (const port of ports) {
+        assert.equal((await call(client, port))?.status, 200);
+        assert.ok(client.open <= 2, `${client.open} open`);
+      }
+    }
+  } finally {
+    servers.forEach(stop);
+  }
+});
+
+test("when every connection is in use a further call counts as unanswered at once, and none is leaked", async () => {
+  const held: http.ServerResponse[] = [];
+  const slow = http.createServer((_req, res) => held.push(res));
+  const quick = http.createServer((_req, res) => res.end("{}"));
+  const client = new HttpClient(1, 1);
+  try {
+    const [a, b] = [await listen(slow), await listen(quick)];
+    const first = call(client, a);
+    assert.equal(await call(client, b), null);
+    while (held.length === 0) await new Promise((later) => setImmediate(later));
+    held[0]?.end("{}");
+    assert.equal((await first)?.status, 200);
+    assert.equal((await call(client, b))?.status, 200);
+    // A refused connection and one that is reset give their place back.
+    stop(quick);
+    for (let i = 0; i < 3; i++) assert.equal(await call(client, b), null);
+    for (let i = 0; i < 100 && client.open > 0; i++) await new Promise((later) => setImmediate(later));
+    assert.equal(client.open, 0);
+  } finally {
+    stop(slow);
+  }
+});
+
+class AnyDesk implements Desk {
+  ready = true;
+  overloaded = false;
+  submit(): void {}
+  poll(): void {}
+  cancel(): void {}
+  admin(): void {}
+  report(_body: unknown, then: (status: number, body: unknown) => void): boolean {
+    then(200, { baton: 1, orders: [] });
+    return true;
+  }
+  metrics(): Promise<{ type: string; text: string }> {
+    return Promise.resolve({ type: "text/plain", text: "" });
+  }
+}
+
+test("workers leave room for probes and users: the next one is sent on, and a place that comes free is given again", async () => {
+  const server = createServer(new AnyDesk(), { inbound: 8, workersIn: 3, workersOut: 1 });
+  const agents = Array.from({ length: 4 }, () => new HttpClient(1));
+  const probes = new HttpClient(1);
+  try {
+    const port = await listen(server);
+    const report = async (i: number) => (await call(agents[i] ?? probes, port, "/agent/beat"))?.status;
+    assert.deepEqual([await report(0), await report(1), await report(2)], [200, 200, 200]);
+    assert.equal(await report(0), 200, "the same worker again takes no further place");
+    assert.equal(await report(3), 421);
+    const ready = await new Promise<HttpAnswer | null>((then) =>
+      probes.call({ host: LOOPBACK, port }, { method: "GET", path: "/ready" }, 2000, then),
+    );
+    assert.equal(ready?.status, 200);
+    server.closeIdleConnections();
+    while ((await report(3)) !== 200) await new Promise((later) => setImmediate(later));
+  } finally {
+    stop(server);
+  }
+});
