Starts in time: patient arrays, room where starts have counted, images where fellows fit

Ruled out: more machines (all plain ones are rented), processor time (leader 0.29 of its share in the mean).

--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -24,7 +24,8 @@
 /** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
 function pressure(ctx: Context, job: Job, ageS: number): 0 | 1 | 2 {
   const { spec } = job;
-  const started = spec.shape === "gang" ? job.running() > 0 : job.doneCount + job.held.size > 0;
+  // The tasks of an array begin one by one: those that still wait have an aim of their own, and may have missed it.
+  const started = spec.shape === "array" ? job.pending === 0 : job.running() > 0;
   let next: number | null = null;
   let missed = false;
   const consider = (dueS: number) => {
@@ -76,6 +77,18 @@
   return ageS <= Math.max(GUARANTEE_S, aimS) ? 3 : 1;
 }
 
+/**
+ * A guaranteed array waits this part of the aim for places that come free by themselves before lesser work is stopped
+ * for it: where hundreds of tasks end in a second nearly all of it begins in time, and nothing is thrown away.
+ */
+const PATIENCE_PART = 0.4;
+
+export function isPatient(ctx: Context, job: Job): boolean {
+  if (job.spec.shape !== "array") return false;
+  const aimS = ctx.deployment.objectives.find((o) => o.kind === "guarantee")?.withinS ?? 0;
+  return (ctx.wallMs - job.acceptedAt) / 1000 < aimS * PATIENCE_PART;
+}
+
 /** Seconds of task time that are left, by the corrected estimate. */
 function leftS(ctx: Context, job: Job): number {
   return (job.spec.tasks - job.doneCount) * Math.max(1, ctx.estimates.of(job.spec));
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -8,6 +8,10 @@
 /** How long a job for which nothing could be stopped waits before that is looked into again. */
 const SEEK_AGAIN_MS = 500;
 const RECLAIM_MS = 5000;
+/** A start that is stopped sooner counts for nothing (PROTOCOL, "How aims are counted"). */
+const START_COUNTS_S = 30;
+/** What passes between a stop and the start of what it made room for, saving aside. */
+const HANDOVER_S = 1;
 
 /** What may be stopped for what, and the cheapest way to make room. */
 export class Preemption {
@@ -106,7 +110,8 @@
         job.reservesUntil = now + RESERVE_MS;
         for (const victim of victims) {
           const { saveS, checkpointS } = victim.job.spec;
-          if (hurryS !== null && checkpointS > 0 && saveS > hurryS && victim.job.spec.shape !== "gang") {
+          const late = hurryS !== null && saveS + HANDOVER_S > hurryS;
+          if (late && checkpointS > 0 && victim.job.spec.shape !== "gang") {
             this.#fleet.stop(victim, 0, `room for ${job.uid}`);
             continue;
           }
@@ -157,7 +162,8 @@
   #lossOf(placement: Placement): number {
     const { spec } = placement.job;
     const ran = placement.runningSince === null ? 0 : (this.#ctx.now - placement.runningSince) / 1000;
-    const lost = spec.checkpointS > 0 ? spec.saveS : ran;
+    // What has only just begun would have to begin once more to count.
+    const lost = spec.checkpointS > 0 ? spec.saveS + Math.max(0, START_COUNTS_S - ran) : ran;
     const tasks = spec.shape === "gang" ? spec.tasks : 1;
     return ((lost + 1) * tasks * (spec.need.cpu + spec.need.gpu * 10)) / 1000;
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -3,7 +3,7 @@
 import type { Fleet } from "./fleet.js";
 import { Holds } from "./holds.js";
 import type { Reigning } from "./leadership.js";
-import { inOrder, isAged, isPressed, waitAimS } from "./order.js";
+import { inOrder, isAged, isPatient, isPressed, waitAimS } from "./order.js";
 import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
 import {
@@ -30,6 +30,8 @@
 const SAVING_WASTE_S = 5;
 const FULLEST_S = 5;
 const AGED_PART = 4;
+/** A service without its image anywhere brings it to so many machines at once. */
+const FETCHERS = 4;
 /** What began because of its age is left alone so long. */
 const SPARED_MS = 60_000;
 const FAILURE_S = 20;
@@ -145,9 +147,10 @@
     return result;
   }
 
-  /** Notes for the operators why a job waits; one that has waited long is told of in the log, once. */
+  /** Notes for the operators why a job waits; one that has waited long is told of in the log, once for each reason. */
   #waits(job: Job, why: string): void {
-    if (isAged(this.#ctx, job) && job.waitsFor !== why) {
+    if (isAged(this.#ctx, job) && !job.toldWhy.has(why)) {
+      job.toldWhy.add(why);
       const waitedS = Math.round((this.#ctx.wallMs - job.acceptedAt) / 1000);
       this.#ctx.log("info", "job still waits", { job: job.uid, why, waited_s: waitedS });
     }
@@ -219,7 +222,7 @@
     job.blockedSince ??= this.#ctx.now;
     this.#waits(job, job.makingRoomUntil > this.#ctx.now ? "room is being made" : "no machine has room");
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
-    if (job.spec.priority >= 2 || entry.guaranteed) {
+    if (job.spec.priority >= 2 || (entry.guaranteed && !isPatient(this.#ctx, job))) {
       this.preemption.makeRoom(job, count, entry.guaranteed, () => true, null);
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
@@ -365,7 +368,12 @@
 
   /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
   score(job: Job, machine: Machine): number {
-    let s = -FULLEST_S * machine.share() + machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
+    let s = machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
+    // A service that must fetch its image anyway brings it where its fellows to come will find room: on machines full of
+    // other services an image serves nobody else.
+    if (job.spec.shape === "service" && !machine.images.has(job.spec.image))
+      s += FULLEST_S * machine.shareOf(3);
+    else s -= FULLEST_S * machine.share();
     if (machine.retiring) s += GPU_WASTE_S;
     else if (this.#inTheWay(job, machine)) s += job.spec.checkpointS > 0 ? SAVING_WASTE_S : GPU_WASTE_S;
     return s;
@@ -381,11 +389,12 @@
   #placeMany(job: Job, count: number): number {
     const withinS = waitAimS(this.#ctx, job);
     if (withinS === null) return this.#fillAny(job, count);
+    const leftS = withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
     let placed = this.#vain.has(job, 1) ? 0 : this.#fill(job, count, quick);
     if (placed < count && job.spec.priority >= 2) {
-      placed += this.preemption.makeRoom(job, count - placed, false, quick, withinS);
+      placed += this.preemption.makeRoom(job, count - placed, false, quick, Math.max(0, leftS));
     }
     if (placed < count) placed += this.#fillAny(job, count - placed);
     return placed;
@@ -406,7 +415,7 @@
 
   #fill(job: Job, count: number, suits: (machine: Machine) => boolean): number {
     let placed = 0;
-    const { oneZone, spread, tasks } = job.spec;
+    const { oneZone, spread, tasks, shape, image } = job.spec;
     const machines = this.#ranked(job).filter(suits);
     const zoneCap = spread ? Math.ceil(tasks / 2) : Number.POSITIVE_INFINITY;
     let onlyZone: string | null = null;
@@ -421,6 +430,7 @@
       if (placed > 0 && this.#wastesGpus(job, machine)) continue;
       let n = Math.min(count - placed, times(job.spec.need, machine.room()));
       if (spread) n = Math.min(n, zoneCap - job.inZone(machine.zone));
+      if (shape === "service" && !machine.images.has(image)) n = Math.min(n, Math.ceil(tasks / FETCHERS));
       for (; n > 0; n--) {
         const task = job.nextPending();
         if (task === null || !this.#hasAttempts()) return placed;
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -69,6 +69,8 @@
   sparedUntil = 0;
   /** Why some of its tasks wait, in words for the operators, as of the last round. */
   waitsFor: string | null = null;
+  /** The reasons that the log has told: reasons alternate from round to round, and told each time they were most of it. */
+  readonly toldWhy = new Set<string>();
   /** A record of its placements can't be read: nothing of it may be started, as it may be running. */
   unreadable = false;
   failures = 0;
@@ -264,6 +266,12 @@
     const cpu = this.type?.size.cpu ?? 0;
     return cpu > 0 ? (this.used.cpu + this.booked.cpu + this.strayUse.cpu) / cpu : 1;
   }
+
+  /** The part of the CPUs that work of one priority uses. */
+  shareOf(priority: number): number {
+    const cpu = this.type?.size.cpu ?? 0;
+    return cpu > 0 ? (this.usedBy[priority]?.cpu ?? 0) / cpu : 1;
+  }
 }
 
 /** All that is placed, by job, machine and team: the one place where placements come and go. */
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -5,6 +5,7 @@
   CloudAnswer,
   CloudCall,
   Command,
+  Deployment,
   Effect,
   JobSpec,
   MachineType,
@@ -44,6 +45,7 @@
   readonly unanswered: { id: number; machine: string }[] = [];
   readonly cloudCalls: CloudCall[] = [];
   readonly faults: string[] = [];
+  readonly logged: string[] = [];
   /** The nodes that reports were passed on to. */
   readonly relays: string[] = [];
   /** What the state service does with a call; null answers for real. */
@@ -70,9 +72,20 @@
   readonly #admins = new Map<number, AdminAnswer>();
   readonly #follows: { id: number; call: Extract<StateCall, { t: "follow" }>; at: number }[] = [];
 
-  constructor(node = "n0", state = new StateService(), incarnation = `${node}-1`) {
+  constructor(
+    node = "n0",
+    state = new StateService(),
+    incarnation = `${node}-1`,
+    settings: Partial<Deployment> = {},
+  ) {
     this.state = state;
-    this.core = new Controller(deployment(node), { incarnation, seed: 7, epochMs: 1_000_000 });
+    const identity = { incarnation, seed: 7, epochMs: 1_000_000 };
+    this.core = new Controller({ ...deployment(node), ...settings }, identity);
+  }
+
+  /** A leader whose operators have these aims. */
+  static withAims(objectives: Deployment["objectives"], more: Partial<Deployment> = {}): Bench {
+    return new Bench("n0", new StateService(), "n0-1", { objectives, ...more }).lead();
   }
 
   give(...commands: Command[]): void {
@@ -107,6 +120,7 @@
           break;
         case "log":
           if (effect.level === "error") this.faults.push(effect.text);
+          this.logged.push(effect.text);
           break;
         case "relay":
           this.relays.push(effect.to);
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -449,3 +449,117 @@
   beat(b, held, {}, 3);
   assert.equal(live(held, "A", "j-4").length, 1);
 });
+
+const GUARANTEE = { kind: "guarantee", jobClass: null, withinS: 10, share: 0.9 } as const;
+const WAIT = { kind: "wait", jobClass: "work", withinS: 5, share: 0.9 } as const;
+const IDLE = { jobClass: "idle", team: "blue", priority: 0, checkpointS: 15, estimateS: 600 } as const;
+
+test("a guaranteed array waits for places that come free before lesser work is stopped for it, but not for long", () => {
+  const b = Bench.withAims([GUARANTEE]);
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { ...IDLE, tasks: 4, saveS: 2 }));
+  settle(b, held);
+  assert.equal(live(held, "A", "j-1").length, 4);
+  const asked = b.now;
+  b.submit(job("j-2"));
+  while (b.now - asked < 3500) {
+    b.report("A", held.get("A"));
+    b.pass(100);
+  }
+  assert.deepEqual(b.ops("stop", "j-1"), []);
+  while (b.now - asked < 6000) {
+    b.report("A", held.get("A"));
+    b.pass(100);
+  }
+  assert.equal(b.ops("stop", "j-1").length, 1);
+});
+
+test("room is made where starts have counted, not where they would have to be made again", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-0", { tasks: 4, estimateS: 20 }));
+  settle(b, held);
+  held.set("B", []);
+  b.report("B");
+  b.submit(job("j-1", { ...IDLE, tasks: 4, saveS: 2 }));
+  settle(b, held);
+  beat(b, held, {}, 15);
+  held.set(
+    "A",
+    live(held, "A", "j-0").map((s) => ({ ...s, state: "ended", cause: "done" })),
+  );
+  b.submit(job("j-2", { ...IDLE, tasks: 4, saveS: 2 }));
+  beat(b, held, {}, 2);
+  assert.deepEqual([live(held, "A", "j-2").length, live(held, "B", "j-1").length], [4, 4]);
+  b.submit(job("j-3", { shape: "service", priority: 3, estimateS: 0, imageGb: 0 }));
+  b.pass(200);
+  assert.equal(b.ops("stop", "j-1").length, 1);
+  assert.deepEqual(b.ops("stop", "j-2"), []);
+});
+
+test("work that could not save before the aim is missed is stopped at once, as its checkpoints are kept", () => {
+  for (const [saveS, graceful] of [
+    [2, true],
+    [4.5, false],
+  ] as const) {
+    const b = Bench.withAims([WAIT]);
+    const held = new Map<string, Said[]>([["A", []]]);
+    b.report("A");
+    b.submit(job("j-1", { ...IDLE, tasks: 4, saveS }));
+    settle(b, held);
+    b.submit(job("j-2", { shape: "service", priority: 3, estimateS: 0 }));
+    b.pass(200);
+    const stop = b.sent.flatMap((s) => s.orders).find((o) => o.op === "stop");
+    assert.ok(stop?.op === "stop");
+    assert.equal(stop.graceS > 0, graceful, `saving takes ${saveS} s of 5`);
+  }
+});
+
+test("a service without its image anywhere brings it to several machines, those first that hold the fewest others", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>();
+  const service = {
+    shape: "service",
+    priority: 3,
+    estimateS: 0,
+    need: { cpu: 500, gpu: 0, ram: 500 },
+  } as const;
+  held.set("A", []);
+  b.report("A");
+  b.submit(job("j-1", { ...service, tasks: 5, image: "one" }));
+  settle(b, held);
+  assert.equal(live(held, "A", "j-1").length, 5);
+  for (const name of ["B", "C", "D", "E"]) {
+    held.set(name, []);
+    b.report(name);
+  }
+  b.submit(job("j-2", { ...service, tasks: 8, image: "two" }));
+  settle(b, held);
+  const counts = [...held.keys()].map((name) => live(held, name, "j-2").length);
+  assert.deepEqual(counts, [0, 2, 2, 2, 2]);
+});
+
+test("tasks of an array that have missed their start go behind those that can still make theirs", () => {
+  const none = { cpu: 0, gpu: 0, ram: 0 };
+  const limit = { cpu: 20_000, gpu: 0, ram: 0 };
+  const b = Bench.withAims([{ ...WAIT, withinS: 100 }], {
+    teams: [{ name: "blue", guarantee: none, limit }],
+  });
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { tasks: 6, estimateS: 1, team: "blue" }));
+  settle(b, held);
+  assert.equal(live(held, "A", "j-1").length, 4);
+  beat(b, held, {}, 50);
+  b.submit(job("j-2", { tasks: 1, estimateS: 60, team: "blue" }));
+  const end = (n: number) =>
+    held.set(
+      "A",
+      (held.get("A") ?? []).map((s, i) => (i < n ? { ...s, state: "ended", cause: "done" } : s)),
+    );
+  end(1);
+  beat(b, held, {}, 1);
+  assert.deepEqual([live(held, "A", "j-1").length, live(held, "A", "j-2").length], [3, 1]);
+});
