--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -30,8 +30,6 @@
 const SAVING_WASTE_S = 5;
 const FULLEST_S = 5;
 const AGED_PART = 4;
-/** An image that comes so soon is as good as there. */
-const FETCHED_S = 3;
 /** A service without its image anywhere brings it to so many machines at once. */
 const FETCHERS = 4;
 /** What began because of its age is left alone so long. */
@@ -44,11 +42,6 @@
   readonly guaranteed: boolean;
 }
 
-/** A job's turn in a round; of two turns the first is for machines that have its image. */
-interface Turn extends Blocked {
-  readonly fetching: boolean;
-}
-
 /** Decides what runs where: rounds over the waiting jobs that stop when their time is spent and go on later. */
 export class Scheduler {
   readonly #ctx: Context;
@@ -59,7 +52,7 @@
   #counter = 0;
   #counterToken = 0;
   /** Where an interrupted round goes on. */
-  #resume: { readonly queue: readonly Turn[]; at: number } | null = null;
+  #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
   /** The machines that can take work, by type, as of this call: a round asks for them once a job. */
   #open = new Map<string, Machine[]>();
   /** The last job's choice of machines was narrowed by what is its own: its image, its patience, its failures. */
@@ -99,8 +92,7 @@
         return false;
       }
       const entry = queue[i];
-      if (entry?.fetching) this.#serve(entry);
-      else if (entry) this.#serveFetched(entry.job);
+      if (entry) this.#serve(entry);
     }
     this.blocked = this.#found;
     return true;
@@ -117,7 +109,7 @@
     }
   }
 
-  #queue(): Turn[] {
+  #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
       .filter((job) => job.state === "active" && !job.complete)
@@ -130,34 +122,11 @@
       else if (job.notBefore > now) this.#waits(job, "it failed and is tried again later");
       return !job.unreadable && job.notBefore <= now;
     });
-    return this.#turns(inOrder(this.#ctx, waiting, guaranteed), guaranteed);
-  }
-
-  /**
-   * Images of gangs are large: a fifth of the time of dear machines went into fetching them. Gangs with time to spare
-   * first get a turn each on free machines that have their image, and any other only after all of them had that.
-   */
-  #turns(jobs: readonly Job[], guaranteed: ReadonlySet<Job>): Turn[] {
-    const first: Turn[] = [];
-    const second: Turn[] = [];
-    let last = 0;
-    for (const job of jobs) {
-      const turn = { job, count: job.pending, guaranteed: guaranteed.has(job), fetching: true };
-      const unhurried =
-        job.spec.shape === "gang" &&
-        !isAged(this.#ctx, job) &&
-        !isPressed(this.#ctx, job) &&
-        job.held.size === 0;
-      if (!unhurried) {
-        first.push(turn);
-        continue;
-      }
-      first.push({ ...turn, fetching: false });
-      second.push(turn);
-      last = first.length;
-    }
-    first.splice(last, 0, ...second);
-    return first;
+    return inOrder(this.#ctx, waiting, guaranteed).map((job) => ({
+      job,
+      count: job.pending,
+      guaranteed: guaranteed.has(job),
+    }));
   }
 
   /** A job is within its team's guarantee if it fits there along with the team's earlier unfinished jobs. */
@@ -219,13 +188,6 @@
     if (placed < allowed) this.#noPlace(entry, allowed - placed);
   }
 
-  /** A gang's turn on machines that have its image: nothing is stopped or kept for it. */
-  #serveFetched(job: Job): void {
-    if (job.state !== "active" || job.pending < job.spec.tasks) return;
-    if ((job.awaitedUntil ?? 0) > this.#ctx.now || this.withinLimit(job) < job.spec.tasks) return;
-    this.#placeGang(job, (machine) => this.#imageWaitS(job, machine) <= FETCHED_S);
-  }
-
   /**
    * Images of gangs are large: fetching one can take longer than the start may. So machines that have it, or can have it
    * in time, come first, lesser work making room on them; only then any other.
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -563,35 +563,3 @@
   beat(b, held, {}, 1);
   assert.deepEqual([live(held, "A", "j-1").length, live(held, "A", "j-2").length], [3, 1]);
 });
-
-test("of gangs with time to spare the one whose image is there goes first; a pressed one goes by its turn alone", () => {
-  for (const pressed of [false, true]) {
-    const b = Bench.withAims([{ ...WAIT, withinS: 100 }]);
-    const held = new Map<string, Said[]>([["G", []]]);
-    const more = { G: GPU };
-    b.report("G", [], GPU);
-    const gang = {
-      shape: "gang",
-      priority: 2,
-      types: ["gpu"],
-      need: { cpu: 6000, gpu: 2000, ram: 8000 },
-    } as const;
-    b.submit(job("j-1", { ...gang, image: "here", imageGb: 20 }));
-    settle(b, held, more);
-    assert.equal(live(held, "G", "j-1").length, 1);
-    b.submit(job("j-2", { ...gang, image: "elsewhere", imageGb: 20, estimateS: 5 }));
-    beat(b, held, more, pressed ? 30 : 1);
-    b.submit(job("j-3", { ...gang, image: "here", imageGb: 20, estimateS: 500 }));
-    held.set(
-      "G",
-      live(held, "G").map((s) => ({ ...s, state: "ended", cause: "done" })),
-    );
-    beat(b, held, more, 1);
-    const [first, last] = pressed ? ["j-2", "j-3"] : ["j-3", "j-2"];
-    assert.deepEqual(
-      [live(held, "G", first).length, live(held, "G", last).length],
-      [1, 0],
-      `pressed: ${pressed}`,
-    );
-  }
-});
