What may wait for a peer follows from max_connections

After a restart of all a follower passes on the reports of half a fleet at once; with 16 tasks each that is more than the 512 KiB at which the link was given up, and with it every report under way.

--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -6,7 +6,8 @@
 
 const RECONNECT_MS = 1000;
 const CONNECT_TIMEOUT_MS = 1500;
-const MAX_BACKLOG = 512 * 1024;
+/** What may wait for a peer, for each connection this node may have: after a restart all workers' reports come at once. */
+const BACKLOG_EACH = 2048;
 
 const count = v.pipe(v.number(), v.minValue(0));
 const messageSchema = v.variant("t", [
@@ -64,7 +65,10 @@
   send(to: string, message: PeerMessage): void {
     const link = this.#links.get(to);
     if (!link?.up) return;
-    if (link.socket.writableLength + link.stream.readableLength > MAX_BACKLOG) {
+    if (
+      link.socket.writableLength + link.stream.readableLength >
+      this.#settings.maxConnections * BACKLOG_EACH
+    ) {
       link.socket.destroy();
       return;
     }
