Rounds look only at machines with room for the least that waits

Cause: a profile of a real leader against stand-ins (600 machines on loopback, not in the repository) had 24% of a core busy, a fifth of that in going over all machines of a type for each waiting job, nearly all of them full. Ruled out: reports (each costs what its HTTP costs), records, renewals.

What most workers hear is judged once a second, not in every tick.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -206,9 +206,11 @@
     this.intake.comparePolls();
     this.leadership.tick();
     this.reign?.tick(budget);
-    this.#mayHandOver();
     const { now } = this.ctx;
-    if (now - this.#beatAt >= BEAT_MS) this.#beat();
+    if (now - this.#beatAt >= BEAT_MS) {
+      this.#mayHandOver();
+      this.#beat();
+    }
     if (now - this.#sweepAt >= SWEEP_MS) {
       this.#sweepAt = now;
       const used = this.reign?.inUse() ?? { jobs: new Set<number>(), machines: new Set<number>() };
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -55,6 +55,8 @@
   #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
   /** The machines that can take work, by type, as of this call: a round asks for them once a job. */
   #open = new Map<string, Machine[]>();
+  /** Those of them with room for the least that any waiting job asks for: in a loaded fleet, few. */
+  #roomy = new Map<string, Machine[]>();
   /** The last job's choice of machines was narrowed by what is its own: its image, its patience, its failures. */
   #narrowed = false;
   readonly #vain: Vain;
@@ -80,11 +82,11 @@
 
   /** False when the time was spent before the end: call again. */
   round(budget: Budget): boolean {
-    this.#survey();
     const resume = this.#resume ?? { queue: this.#queue(), at: 0 };
     if (this.#resume === null) this.#found = [];
     this.#resume = null;
     const { queue } = resume;
+    this.#survey(queue);
     for (let i = resume.at; i < queue.length; i++) {
       if (i > resume.at && budget.spent()) {
         this.#resume = { queue, at: i };
@@ -98,14 +100,20 @@
     return true;
   }
 
-  #survey(): void {
+  #survey(queue: readonly Blocked[]): void {
     this.#open = new Map();
+    this.#roomy = new Map();
     this.#vain.clear();
+    let [cpu, ram] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
+    for (const { job } of queue) {
+      cpu = Math.min(cpu, job.spec.need.cpu);
+      ram = Math.min(ram, job.spec.need.ram);
+    }
+    const least = { cpu, gpu: 0, ram };
     for (const machine of this.#tables.machines.values()) {
       if (!this.usable(machine)) continue;
-      const list = this.#open.get(machine.typeName);
-      if (list) list.push(machine);
-      else this.#open.set(machine.typeName, [machine]);
+      listed(this.#open, machine.typeName).push(machine);
+      if (machine.hasRoom(least)) listed(this.#roomy, machine.typeName).push(machine);
     }
   }
 
@@ -273,7 +281,8 @@
     const { now } = this.#ctx;
     const found: Machine[] = [];
     this.#narrowed = job.spec.shape === "service";
-    for (const list of this.#open.values()) {
+    // Within a round room only shrinks, unless something is stopped for it: without that few machines need a look.
+    for (const list of (below === 0 ? this.#roomy : this.#open).values()) {
       const type = list[0]?.type;
       if (!type || !suitsType(job.spec, type)) continue;
       this.looked += list.length;
@@ -516,3 +525,12 @@
     return placement;
   }
 }
+
+function listed(lists: Map<string, Machine[]>, key: string): Machine[] {
+  let list = lists.get(key);
+  if (!list) {
+    list = [];
+    lists.set(key, list);
+  }
+  return list;
+}
