Aged arrays keep off machines that gangs wait for; what has begun is not aged to a new leader

The new leader knew of no earlier run of any waiting job and took 36 arrays, some waiting "316 s", for aged; they went first, settled on the GPU machines that came free and were spared there for a minute. Ruled out: the team's limit (250), adoption (all within 3 s).

--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -180,6 +180,9 @@
         held++;
       }
     }
+    // When work that has begun last ran is not on record: its wait counts anew, else a new leader takes all that is
+    // waiting for its next tasks for aged.
+    for (const job of this.tables.jobs.values()) if (job.doneCount > 0) job.lastHeldAt = now;
     this.applyModes();
     this.fleet.loaded = true;
     // Reports that came in while the records were being read are as good as new ones.
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -322,7 +322,7 @@
   }
 
   /**
-   * Work without GPUs is put in the way of GPU work only if it can save when it has to make room, or while
+   * Work without GPUs is put in the way of GPU work only if it can save and leave when it has to make room, or while
    * more machines than the spare ones are free.
    */
   #wastesGpus(job: Job, machine: Machine): boolean {
@@ -335,7 +335,10 @@
       const waitedMs = job.blockedSince === null ? 0 : this.#ctx.now - job.blockedSince;
       if (bootS !== null && waitedMs < bootS * BOOT_PATIENCE * 1000) return true;
     }
-    if (!this.#inTheWay(job, machine) || job.spec.checkpointS > 0) return false;
+    if (!this.#inTheWay(job, machine)) return false;
+    // What begins because of its age is spared for a while, and so can't leave: after a failover aged arrays filled a
+    // fifth of the GPU machines, which gangs waited for until the minute was over.
+    if (job.spec.checkpointS > 0 && !isAged(this.#ctx, job)) return false;
     const keep = this.#room.get(machine.typeName);
     if (!keep?.need) return false;
     return this.#freeFor(machine.typeName, keep.need) <= keep.spare;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Estimates } from "../src/core/estimates.js";
+import { isAged } from "../src/core/order.js";
 import { tokenOf } from "../src/core/tables.js";
 import { Bench, job, type Said } from "./bench.js";
 
@@ -563,3 +564,61 @@
   beat(b, held, {}, 1);
   assert.deepEqual([live(held, "A", "j-1").length, live(held, "A", "j-2").length], [3, 1]);
 });
+
+test("an aged array does not settle on machines that gangs wait for, as it would be spared there", () => {
+  const b = new Bench().lead();
+  const more = { G: GPU };
+  const held = new Map<string, Said[]>([
+    ["S", []],
+    ["G", []],
+  ]);
+  const gang = {
+    shape: "gang",
+    priority: 2,
+    types: ["gpu"],
+    need: { cpu: 8000, gpu: 2000, ram: 8000 },
+  } as const;
+  b.report("S");
+  b.report("G", [], GPU);
+  b.submit(job("j-1", gang));
+  b.submit(job("j-2", { tasks: 4, types: ["small"], priority: 1 }));
+  settle(b, held, more);
+  b.submit(job("j-3", { ...IDLE, tasks: 8 }));
+  beat(b, held, more, 80);
+  const aged = b.core.reign?.tables.jobByUid("j-3");
+  assert.ok(aged && isAged(b.core.ctx, aged));
+  b.submit(job("j-4", gang));
+  beat(b, held, more, 2);
+  held.set(
+    "G",
+    live(held, "G", "j-1").map((s) => ({ ...s, state: "ended", cause: "done" })),
+  );
+  beat(b, held, more, 3);
+  assert.equal(live(held, "G", "j-4").length, 1);
+});
+
+test("to a new leader, work that has begun is not aged; what has never begun is, from its acceptance", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { tasks: 8 }));
+  settle(b, held);
+  b.submit(job("j-2", { types: ["gpu"] }));
+  held.set(
+    "A",
+    live(held, "A").map((s) => ({ ...s, state: "ended", cause: "done" })),
+  );
+  beat(b, held, {}, 2);
+  b.pass(5000);
+  b.state.expire(b.now + 200_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 200_000;
+  next.lead();
+  const ages = (uid: string) => {
+    const known = next.core.reign?.tables.jobByUid(uid);
+    assert.ok(known, uid);
+    for (const placement of [...known.held.values()]) next.core.reign?.tables.unplace(placement, next.now);
+    return isAged(next.core.ctx, known);
+  };
+  assert.deepEqual([ages("j-1"), ages("j-2")], [false, true]);
+});
