Reports that are passed on go together, as many as come within 25 ms

Of the rest most goes into reports: a packet, a batch of the core and a packet back for each, at both ends.

Reports given up meanwhile are not passed on.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -290,8 +290,8 @@
           this.#progress.delete(oldest.value);
         }
         break;
-      case "report":
-      case "reportAnswer":
+      case "reports":
+      case "reportAnswers":
         break;
       default:
         message satisfies never;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -217,6 +217,17 @@
 
 /* ---- peers ---- */
 
+/** A worker's report as a follower passes it on, and the leader's answer to it, under the follower's id. */
+export interface PassedReport {
+  readonly id: number;
+  readonly body: unknown;
+}
+export interface PassedAnswer {
+  readonly id: number;
+  readonly status: number;
+  readonly body: unknown;
+}
+
 export type PeerMessage =
   | {
       readonly t: "beat";
@@ -227,8 +238,8 @@
     }
   | { readonly t: "job"; readonly item: StateItem }
   | { readonly t: "progress"; readonly rows: readonly (readonly [string, number, number])[] }
-  | { readonly t: "report"; readonly id: number; readonly body: unknown }
-  | { readonly t: "reportAnswer"; readonly id: number; readonly status: number; readonly body: unknown };
+  | { readonly t: "reports"; readonly list: readonly PassedReport[] }
+  | { readonly t: "reportAnswers"; readonly list: readonly PassedAnswer[] };
 
 export type ReportAnswer =
   | { readonly t: "orders"; readonly token: number; readonly orders: readonly Order[] }
--- a/src/shell/loop.ts
+++ b/src/shell/loop.ts
@@ -8,6 +8,8 @@
   Command,
   Effect,
   JobSpec,
+  PassedAnswer,
+  PassedReport,
   PeerMessage,
   UserAnswer,
 } from "../core/types.js";
@@ -23,6 +25,11 @@
 const MAX_WAITING = 300;
 const LAG_OVERLOAD_MS = 1500;
 const RELAY_TIMEOUT_MS = 3000;
+/**
+ * Reports that are passed on go together, as many as come within so long: each by itself took a packet, a batch of the
+ * core and a packet back, at both ends (figures in docs/RESULTS.md). Workers report every few seconds.
+ */
+const GATHER_MS = 25;
 
 /** Owns the controller: everything that happens becomes a command in one queue, worked off in batches. */
 export class Loop implements Desk {
@@ -37,7 +44,10 @@
   readonly #users = new Map<number, (answer: UserAnswer) => void>();
   readonly #admins = new Map<number, (answer: AdminAnswer) => void>();
   readonly #reports = new Map<number, (status: number, body: unknown) => void>();
-  readonly #relays = new Map<number, { timer: ReturnType<typeof setTimeout>; to: string }>();
+  readonly #relays = new Map<number, { readonly until: number; readonly to: string }>();
+  /** Reports about to be passed on, and answers to those that were, by the node they go to. */
+  readonly #passing = new Map<string, PassedReport[]>();
+  readonly #answering = new Map<string, PassedAnswer[]>();
   #scheduled = false;
   /** Not from 1: a peer's answer to a report that this node's former process passed on must meet no request of ours. */
   #nextRequest: number;
@@ -68,6 +78,7 @@
       const now = performance.now();
       this.#lagMs = Math.max(0, now - this.#tickedAt - TICK_MS);
       this.#tickedAt = now;
+      this.#giveUpRelays(now);
       this.#push({ t: "tick" });
     });
     this.#peers.listen(failed);
@@ -90,6 +101,8 @@
     const budget: Budget = { spent: () => performance.now() >= end };
     this.batches++;
     for (const effect of this.#controller.handle(batch, now, budget)) this.#run(effect);
+    for (const [to, list] of this.#answering) this.#peers.send(to, { t: "reportAnswers", list });
+    this.#answering.clear();
   }
 
   #run(effect: Effect): void {
@@ -107,7 +120,7 @@
       }
       case "peerReportAnswer": {
         const { status, body } = encodeReportAnswer(effect.answer, this.#controller.directory);
-        this.#peers.send(effect.to, { t: "reportAnswer", id: effect.id, status, body });
+        append(this.#answering, effect.to, { id: effect.id, status, body });
         break;
       }
       case "relay":
@@ -138,12 +151,24 @@
   }
 
   #relay(req: number, to: string, raw: unknown): void {
-    this.#peers.send(to, { t: "report", id: req, body: raw });
-    const timer = setTimeout(
-      () => this.#relayed(req, 503, { error: "the leader does not answer" }),
-      RELAY_TIMEOUT_MS,
-    );
-    this.#relays.set(req, { timer, to });
+    if (append(this.#passing, to, { id: req, body: raw }) === 1) setTimeout(() => this.#pass(to), GATHER_MS);
+    this.#relays.set(req, { until: performance.now() + RELAY_TIMEOUT_MS, to });
+  }
+
+  #pass(to: string): void {
+    const list = this.#passing.get(to) ?? [];
+    this.#passing.delete(to);
+    // After a standstill some have been given up: their workers are at another node.
+    const open = list.filter(({ id }) => this.#relays.has(id));
+    if (open.length > 0) this.#peers.send(to, { t: "reports", list: open });
+  }
+
+  #giveUpRelays(now: number): void {
+    for (const [req, { until }] of this.#relays) {
+      // In the order in which they were passed on: the rest has time left.
+      if (now < until) return;
+      this.#relayed(req, 503, { error: "the leader does not answer" });
+    }
   }
 
   /** The leader is gone: its workers must not wait for answers that won't come. */
@@ -156,19 +181,19 @@
   #relayed(req: number, status: number, body: unknown): void {
     const relay = take(this.#relays, req);
     if (relay === undefined) return;
-    clearTimeout(relay.timer);
     take(this.#reports, req)?.(status, body);
   }
 
   #peerMessage(from: string, message: PeerMessage): void {
     switch (message.t) {
-      case "report": {
-        const report = decodeReport(message.body, this.#controller.directory);
-        if (report) this.#push({ t: "peerReport", from, id: message.id, report });
+      case "reports":
+        for (const { id, body } of message.list) {
+          const report = decodeReport(body, this.#controller.directory);
+          if (report) this.#push({ t: "peerReport", from, id, report });
+        }
         break;
-      }
-      case "reportAnswer":
-        this.#relayed(message.id, message.status, message.body);
+      case "reportAnswers":
+        for (const { id, status, body } of message.list) this.#relayed(id, status, body);
         break;
       case "beat":
       case "job":
@@ -233,3 +258,11 @@
   map.delete(key);
   return value;
 }
+
+/** Returns how many there are with it. */
+function append<T>(lists: Map<string, T[]>, key: string, entry: T): number {
+  const list = lists.get(key);
+  if (list) return list.push(entry);
+  lists.set(key, [entry]);
+  return 1;
+}
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -23,8 +23,11 @@
     item: v.object({ key: v.string(), value: v.unknown(), version: count }),
   }),
   v.object({ t: v.literal("progress"), rows: v.array(v.tuple([v.string(), count, count])) }),
-  v.object({ t: v.literal("report"), id: count, body: v.unknown() }),
-  v.object({ t: v.literal("reportAnswer"), id: count, status: count, body: v.unknown() }),
+  v.object({ t: v.literal("reports"), list: v.array(v.object({ id: count, body: v.unknown() })) }),
+  v.object({
+    t: v.literal("reportAnswers"),
+    list: v.array(v.object({ id: count, status: count, body: v.unknown() })),
+  }),
 ]);
 const helloSchema = v.object({ t: v.literal("hello"), node: v.string() });
 
