--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -7,6 +7,7 @@
 import { parseSettings, type Settings } from "../src/config/settings.js";
 import type { PeerMessage } from "../src/core/types.js";
 import { Peers } from "../src/shell/peers.js";
+import { SETTINGS } from "./settings.js";
 
 const LOOPBACK = "127.0.0.1";
 
@@ -20,36 +21,13 @@
 }
 
 function settings(node: string, listen: number, peer: string, at: number): Settings {
-  return parseSettings(`
-node = "${node}"
-site = "a"
-client_listen = "${LOOPBACK}:1"
-peer_bind = "${LOOPBACK}:${listen}"
-[[known]]
-node = "${peer}"
-endpoint = "${LOOPBACK}:${at}"
-[endpoints]
-cloud = "${LOOPBACK}:2"
-state = "${LOOPBACK}:3"
-[deployment]
-zones = ["a"]
-[[deployment.teams]]
-name = "red"
-[deployment.workers]
-report_s = 2.0
-lease_s = 14.0
-gang_wait_s = 50.0
-gang_peer_s = 5.0
-cancel_s = 44.0
-[deployment.state]
-rps = 250.0
-write_rps = 100.0
-value_kb = 32.0
-txn_ops = 48
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 10.0
-`);
+  const base = parseSettings(SETTINGS);
+  return {
+    ...base,
+    peerListen: { host: LOOPBACK, port: listen },
+    peers: [{ node: peer, at: { host: LOOPBACK, port: at } }],
+    deployment: { ...base.deployment, node, peers: [peer] },
+  };
 }
 
 const LIST = [1, 2, 3].map((id) => ({ id, body: { host: `i-${id}` } }));
