Leases are renewed on knowledge of cancellations; starts, clears and mute machines too

Now no report is answered beyond what the last known cancellation leaves room for, judged when the answer is made; it hands over where only its reading fails; - starts were sent, and repeated, on knowledge of any age; now on knowledge of at most 6 s; - what was on record, but never sent, was started in order to be stopped when its job was cancelled; - an ended attempt could be cleared while its done mark was still under way; - a worker that can't report, while direct commands reach it, was given work that its lease then ended; - a cancellation is told to every peer.

Tests: one for each; each guard was taken out once, and its test failed. The stand-in for the state service in test/bench.ts now answers a follow when its time is up, as PROTOCOL says: without that the leader would know nothing. The test of a worker back with a new session relied on a start by direct answers alone, which is what is no longer done: it now asks for that too, and for the same single start after the next report.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -4,7 +4,7 @@
 import { Leadership } from "./leadership.js";
 import { Directory } from "./names.js";
 import { seeded } from "./random.js";
-import { KEYS } from "./records.js";
+import { KEYS, readJob } from "./records.js";
 import { Reign } from "./reign.js";
 import type {
   AdminAnswer,
@@ -83,6 +83,7 @@
       },
       alone: () => this.#alone,
       startsUnderWay: () => this.reign?.fleet.startsUnderWay() ?? false,
+      knownThrough: () => this.reign?.knownThrough ?? null,
     });
     this.intake = new Intake(this.ctx, this.view, {
       learned: (item) => this.#learned(item),
@@ -304,8 +305,10 @@
       return;
     }
     const leader = this.leaderName;
-    if (leader !== null && this.#peers.has(leader)) {
-      this.ctx.emit({ t: "peerSend", to: leader, message: { t: "job", item } });
+    // A cancellation goes to every peer: one of them may lead, or still answer workers, without this node's knowing.
+    const cancelled = readJob(item.value)?.state === "cancelled";
+    for (const to of this.#peers.keys()) {
+      if (to === leader || cancelled) this.ctx.emit({ t: "peerSend", to, message: { t: "job", item } });
     }
   }
 
@@ -314,7 +317,7 @@
   /** Only the leader's answers carry a token; null if this node may not answer. */
   #leaderAnswer(report: Report): ReportAnswer | null {
     const { reign } = this;
-    if (!reign || this.ctx.now >= reign.reigning.confirmedUntil + this.leadership.holdNowMs()) return null;
+    if (!reign || !this.leadership.mayAnswer) return null;
     const answer = reign.report(report);
     return reign.over ? null : answer;
   }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,6 +9,8 @@
 const RESEND_MS = 1000;
 const LEASE_MARGIN_MS = 600;
 const IMAGE_GUESS_S = 30;
+/** Starts are sent on knowledge of the job's key no older than this: a few rounds of following it. */
+const ALLOWED_MS = 6000;
 /** What was sent is given this long to show, and at least so many report intervals. */
 const OWED_MS = 4000;
 const OWED_REPORTS = 2.5;
@@ -59,7 +61,7 @@
 
   /** A report that this node answers as leader. */
   answer(report: Report): ReportAnswer {
-    const machine = this.#take(report);
+    const machine = this.#take(report, false);
     if (!machine || this.#leadership.reign !== this.#reign) return { t: "later" };
     // Every answer renews the lease, also one to a report that a direct answer has overtaken.
     machine.answeredAt = this.#ctx.now;
@@ -74,7 +76,7 @@
     this.#doWaiting.delete(id);
     machine.doInFlight = false;
     if (report && report.machine === machine.ix) {
-      this.#take(report);
+      this.#take(report, true);
       if (this.#leadership.reign !== this.#reign) return;
       // A refusal for another session executed nothing: show the token again, now that the session is known.
       if (!executed && machine.adoptedAt === null && report.session === machine.session) this.fence(machine);
@@ -84,8 +86,11 @@
     }
   }
 
-  /** Takes in a report; what it says counts only if it is newer than what is known. */
-  #take(report: Report): Machine | null {
+  /**
+   * Takes in a report; what it says counts only if it is newer than what is known. The answer to a direct command is no
+   * sign that the worker can report: one that can't gets no work, and loses what it has with its lease.
+   */
+  #take(report: Report, direct: boolean): Machine | null {
     const { now } = this.#ctx;
     const name = this.#ctx.directory.machines.name(report.machine);
     this.#leadership.sawToken(report.token);
@@ -113,10 +118,12 @@
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.token = report.token;
-    machine.heardAt = now;
-    if (machine.lost) {
-      machine.lost = false;
-      this.#events.changed();
+    if (!direct) {
+      machine.heardAt = now;
+      if (machine.lost) {
+        machine.lost = false;
+        this.#events.changed();
+      }
     }
     // Only a worker that carries a token of this reign has shut out all earlier leaders.
     if (machine.adoptedAt === null) {
@@ -302,6 +309,7 @@
       }
       // A start is only ever sent under the token its attempt carries: what clearing relies on.
       if (unseen && (tokenOf(attempt) !== token || !starting)) continue;
+      if (unseen && !placement.stop && !this.#stillAllowed(placement)) continue;
       if (unseen && now - placement.sentAt >= (placement.stop ? 0 : RESEND_MS)) {
         placement.sentAt = now;
         placement.sentToken = token;
@@ -317,6 +325,11 @@
     return orders;
   }
 
+  /** A start, or its repeat, rests on recent knowledge that its job is not cancelled. */
+  #stillAllowed({ allowedAt }: Placement): boolean {
+    return this.#ctx.now - Math.max(allowedAt, this.#leadership.knownThrough) < ALLOWED_MS;
+  }
+
   #isStale({ attempt }: Placement): boolean {
     return tokenOf(attempt) >= this.#reign.firstToken && tokenOf(attempt) < this.#reign.token;
   }
@@ -353,13 +366,9 @@
     }
   }
 
-  /** Asks for a task to be stopped; one that was never sent is simply taken back. */
+  /** Asks for a task to be stopped; one that was never sent, on record or not, is simply taken back. */
   stop(placement: Placement, graceS: number, why: string): void {
-    if (
-      !placement.durable &&
-      placement.sentToken === 0 &&
-      tokenOf(placement.attempt) >= this.#reign.firstToken
-    ) {
+    if (placement.sentToken === 0 && tokenOf(placement.attempt) >= this.#reign.firstToken) {
       this.#tables.unplace(placement, this.#ctx.now);
       this.#recorder.touch(placement.job, placement.task, false);
       this.#events.gone(placement, "stopped");
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -9,6 +9,8 @@
 const CALL_MS = 900;
 const STAY_OUT_MS = 20_000;
 const ALONE_HOLD_GRANTS = 2;
+/** What a worker may take to end its tasks when its lease is over, and a user's answer to arrive early. */
+const CANCEL_MARGIN_MS = 2500;
 
 export type Standing =
   | { readonly t: "follower" }
@@ -34,6 +36,8 @@
   elected(reign: Reigning): void;
   deposed(why: string): void;
   startsUnderWay(): boolean;
+  /** Every cancellation confirmed before this time is applied here; null before the records are read. */
+  knownThrough(): number | null;
   /** True while no other node is heard. */
   alone(): boolean;
 }
@@ -98,6 +102,27 @@
       : this.holdMs();
   }
 
+  /** Every cancellation confirmed before this time is applied here. */
+  get knownThrough(): number {
+    return this.#events.knownThrough() ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /**
+   * Until when a cancellation that this leader can't know of may not yet be due: a report answered before then renews a
+   * lease that is over in time. It is knowledge that counts, not the grant: renewals may succeed while the follow hangs.
+   */
+  get #ignorantUntil(): number {
+    const { cancelS, leaseS } = this.#ctx.deployment;
+    return this.knownThrough + ((cancelS - leaseS * DRIFT) * 1000 - CANCEL_MARGIN_MS) / DRIFT;
+  }
+
+  /** May reports be answered, and so leases renewed? Before the records are read, nothing is known of cancellations. */
+  get mayAnswer(): boolean {
+    const { reign } = this;
+    const { now } = this.#ctx;
+    return reign !== null && now < reign.confirmedUntil + this.holdNowMs() && now < this.#ignorantUntil;
+  }
+
   /** A higher token seen anywhere ends this reign. */
   sawToken(token: number): void {
     if (token > this.highestSeen) this.highestSeen = token;
@@ -255,6 +280,12 @@
       this.stepDown("unconfirmed for too long");
       return;
     }
+    if (this.#events.knownThrough() !== null && ctx.now >= this.#ignorantUntil) {
+      const why = "cancellations can't be read";
+      if (this.confirmed) this.handOver(why);
+      else this.stepDown(why);
+      return;
+    }
     const lifeMs = ctx.settings.leader_grant_ms;
     if (!this.#renewing && ctx.now - this.#renewedAt >= lifeMs / 4) this.#renew(reign, lifeMs);
     if (
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -70,6 +70,8 @@
   readonly #tables: Tables;
   readonly #events: RecorderEvents;
   readonly #chunks = new Map<string, DirtyChunk>();
+  /** Those in the transaction under way: not on record until it is answered. */
+  #writing: ReadonlySet<string> = new Set();
   readonly #finals = new Set<Job>();
   readonly #gone = new Set<string>();
   readonly #buckets: Bucket[] = [];
@@ -103,7 +105,8 @@
 
   /** True while something about this task is not yet on record. */
   isDirty(job: Job, task: number): boolean {
-    return this.#chunks.has(KEYS.chunk(job.uid, Math.floor(task / CHUNK_TASKS)));
+    const key = KEYS.chunk(job.uid, Math.floor(task / CHUNK_TASKS));
+    return this.#chunks.has(key) || this.#writing.has(key);
   }
 
   finish(job: Job): void {
@@ -171,13 +174,17 @@
     if (batch.changes.length === 0) return;
     this.#allowance -= batch.changes.length;
     this.#busy = true;
-    const { conditions, changes } = batch;
+    const { conditions, changes, chunks } = batch;
+    this.#writing = new Set(chunks.map(({ job, chunk }) => KEYS.chunk(job.uid, chunk)));
+    const askedAt = ctx.now;
     ctx.state({ t: "txn", conditions, changes }, CALL_MS, (answer) => {
       if (this.over) return;
+      if (answer.t !== "ok") this.#putBack(batch);
+      this.#writing = new Set();
       switch (answer.t) {
         case "ok":
           this.#busy = false;
-          this.#succeeded(batch, answer.revision);
+          this.#succeeded(batch, answer.revision, askedAt);
           this.flush();
           break;
         case "conflict":
@@ -185,7 +192,6 @@
           break;
         default:
           this.#busy = false;
-          this.#putBack(batch);
           this.#retryAt = ctx.now + RETRY_MS;
       }
     });
@@ -311,10 +317,14 @@
     batch.bytes += 200;
   }
 
-  #succeeded(batch: Batch, revision: number): void {
+  #succeeded(batch: Batch, revision: number, askedAt: number): void {
     for (const { job, chunk } of batch.chunks) job.chunkVersions.set(chunk, revision);
     for (const bucket of batch.buckets) bucket.version = revision;
-    for (const placement of batch.placements) placement.durable = true;
+    for (const placement of batch.placements) {
+      // Only a start makes the transaction depend on the job's key.
+      if (!placement.durable) placement.allowedAt = askedAt;
+      placement.durable = true;
+    }
     batch.move?.then();
     if (batch.placements.length > 0) this.#events.recorded(batch.placements);
     for (const job of batch.finals) {
@@ -341,7 +351,6 @@
       this.#events.deposed("a transaction failed on the leader key");
       return;
     }
-    this.#putBack(batch);
     // Chunks may differ because an earlier, unanswered write of ours was executed: take the new version.
     const stale: { key: string; take: (version: number) => void }[] = [];
     for (const { job, chunk } of batch.chunks) {
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -12,7 +12,8 @@
 
 const LIST_MS = 3000;
 const RETRY_MS = 300;
-const FOLLOW_MS = 10_000;
+/** Short: what an answer proves to be known is known as of when it was asked for. */
+const FOLLOW_MS = 2000;
 const FOLLOW_PAUSE_MS = 200;
 const ROUND_MS = 100;
 /** What looks at every machine, whether or not anything happened there, is done this often. */
@@ -35,6 +36,8 @@
   readonly hirer: Hirer;
   readonly mover: Mover;
   over = false;
+  /** Every change of a job's key before this time has been applied here; null before the records are read. */
+  knownThrough: number | null = null;
   readonly #ctx: Context;
   readonly #view: ConfigView;
   readonly #leadership: Leadership;
@@ -86,19 +89,22 @@
   #load(): void {
     this.#readAll(KEYS.machines, (machines) => {
       this.#readAll("p/", (chunks) => {
-        this.#readAll("j/", (jobs, revision) => {
+        this.#readAll("j/", (jobs, revision, askedAt) => {
           this.#revision = revision;
           this.#rebuild(machines, chunks, jobs);
+          this.knownThrough = askedAt;
         });
       });
     });
   }
 
-  /** Reads all keys under a prefix; the revision is that of the first page, so that following misses nothing. */
-  #readAll(prefix: string, then: (items: StateItem[], revision: number) => void): void {
+  /** Reads all keys under a prefix; revision and time are the first page's, so that following misses nothing. */
+  #readAll(prefix: string, then: (items: StateItem[], revision: number, askedAt: number) => void): void {
     const items: StateItem[] = [];
     let revision: number | null = null;
+    let firstAskedAt = this.#ctx.now;
     const next = (after: string | null) => {
+      if (revision === null) firstAskedAt = this.#ctx.now;
       this.#ctx.state({ t: "list", prefix, after }, LIST_MS, (answer) => {
         if (this.over) return;
         if (answer.t !== "page") {
@@ -109,7 +115,7 @@
         items.push(...answer.items);
         const last = answer.items.at(-1);
         if (answer.more && last) next(last.key);
-        else then(items, revision);
+        else then(items, revision, firstAskedAt);
       });
     };
     next(null);
@@ -170,6 +176,7 @@
           session,
           attempt,
           durable: true,
+          allowedAt: Number.NEGATIVE_INFINITY,
           placedAt: now,
           seen: null,
           sentToken: 0,
@@ -452,6 +459,7 @@
     if (this.#following || now < this.#followAt) return;
     this.#following = true;
     const call = { t: "follow", prefix: "j/", after: this.#revision, waitMs: FOLLOW_MS } as const;
+    const askedAt = now;
     this.#ctx.state(call, FOLLOW_MS + 2000, (answer) => {
       if (this.over) return;
       this.#following = false;
@@ -459,12 +467,14 @@
       if (answer.t === "events") {
         for (const event of answer.events) if (event.t === "put") this.learnJob(event.item);
         this.#revision = Math.max(this.#revision, answer.revision);
+        this.knownThrough = askedAt;
       } else if (answer.t === "compacted") {
         this.#following = true;
-        this.#readAll("j/", (items, revision) => {
+        this.#readAll("j/", (items, revision, firstAskedAt) => {
           this.#following = false;
           this.#revision = revision;
           for (const item of items) this.learnJob(item);
+          this.knownThrough = firstAskedAt;
         });
       } else this.#followAt = this.#ctx.now + RETRY_MS;
     });
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -512,6 +512,7 @@
       session: machine.session,
       attempt,
       durable: false,
+      allowedAt: Number.NEGATIVE_INFINITY,
       placedAt: this.#ctx.now,
       seen: null,
       sentToken: 0,
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -41,6 +41,8 @@
   readonly placedAt: number;
   /** Recorded in the state service; nothing is sent before. */
   durable: boolean;
+  /** Its job was not cancelled at this time: its record depended on that. */
+  allowedAt: number;
   /** What the worker last said of it; null while no report has shown it. */
   seen: TaskState | null;
   /** The highest token a start for it was sent under by this node; 0 for those of earlier leaders. */
@@ -181,6 +183,7 @@
   sequence = -1;
   /** The highest token a report of this worker carried. */
   token = 0;
+  /** Its last report. Answers to direct commands don't count: a worker that can't report loses its lease all the same. */
   heardAt = Number.NEGATIVE_INFINITY;
   answeredAt = Number.NEGATIVE_INFINITY;
   adoptedAt: number | null = null;
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -155,7 +155,10 @@
         const open = (this.stateRule?.(follow.call) ?? null) === null;
         const found = open ? this.state.since(follow.call.prefix, follow.call.after) : null;
         if (found) this.give({ t: "state", id: follow.id, answer: found });
-        else this.#follows.push(follow);
+        else if (open && this.now >= follow.at + follow.call.waitMs) {
+          const answer = { t: "events", events: [], revision: this.state.revision } as const;
+          this.give({ t: "state", id: follow.id, answer });
+        } else this.#follows.push(follow);
       }
       this.give({ t: "tick" });
     }
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -33,6 +33,127 @@
   assert.equal(b.starts("j-1").length, 1);
 });
 
+const UNHEARD = { t: "refused", why: "outage" } as const;
+
+test("a leader that may not know of cancellations answers no report beyond what they leave room for", () => {
+  // Renewals succeed, or not: what counts is the last time at which the job keys were known. `cancel_s` is 40, a lease 12.
+  for (const renewals of [true, false]) {
+    const { b, attempt } = running();
+    b.stateRule = (call) => (renewals && (call.t === "renew" || call.t === "txn") ? null : UNHEARD);
+    const from = b.now;
+    // Confirmed by another node in the next instant; no word of it comes here.
+    let last = from;
+    while (b.now < from + 60_000) {
+      // In an outage that all share the peers are heard, and the hold is the longest.
+      const beat = { t: "beat", token: 1, leader: null, stateOk: false, workersHeard: 0 } as const;
+      b.give({ t: "peer", from: "n1", message: beat });
+      const answer = b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+      if (answer?.t === "orders") last = b.now;
+      b.pass(500);
+    }
+    assert.ok(last - from + 12_000 < 40_000, `a lease renewed ${last - from} ms after the confirmation`);
+    assert.ok(last - from > 20_000, `work is let go after ${last - from} ms already`);
+  }
+});
+
+test("a leader that has stood still answers nothing it finds waiting, if it may not know of cancellations by then", () => {
+  const { b, attempt } = running();
+  // Renewals are answered to the last, the follow is not; then it stands still, and finds a peer's word and a report.
+  b.stateRule = (call) => (call.t === "follow" ? UNHEARD : null);
+  b.pass(6000);
+  b.now += 21_000;
+  const beat = { t: "beat", token: 1, leader: null, stateOk: false, workersHeard: 0 } as const;
+  b.give({ t: "peer", from: "n1", message: beat });
+  const answer = b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  assert.notEqual(answer?.t, "orders");
+});
+
+test("a leader that has not read the records yet renews no lease: it knows of no cancellation", () => {
+  const { b: old, attempt } = running();
+  old.state.expire(old.now + 60_000);
+  const b = new Bench("n1", old.state);
+  b.now = old.now + 60_000;
+  b.stateRule = (call) => (call.t === "list" && call.prefix === "j/" ? UNHEARD : null);
+  b.lead();
+  const said = [{ uid: "j-1", task: 0, attempt, state: "running" }] as const;
+  assert.equal(b.core.reign?.fleet.loaded, false);
+  assert.equal(b.report("A", said), undefined, "held, for the leader to be");
+  b.stateRule = null;
+  b.pass(1000);
+  assert.equal(b.report("A", said)?.t, "orders");
+});
+
+test("a start is not sent, nor repeated, on old knowledge that its job is not cancelled", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1"));
+  b.pass(200);
+  b.silenceDo();
+  // The follow hangs; another node cancels.
+  b.stateRule = (call) => (call.t === "follow" ? UNHEARD : null);
+  for (let i = 0; i < 4; i++) {
+    b.pass(2000);
+    b.report("A");
+    b.silenceDo();
+  }
+  b.pass(1500);
+  const before = b.starts("j-1").length;
+  const answers = [b.report("A"), b.report("A")];
+  b.pass(4000);
+  assert.ok(answers.every((a) => a?.t === "orders" && a.orders.length === 0));
+  assert.equal(b.starts("j-1").length, before);
+});
+
+test("what is cancelled before its start was sent is never started", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-0"));
+  b.pass(200);
+  // A command to the machine is under way, so that the next start waits: on record, and not sent.
+  b.submit(job("j-1"));
+  b.pass(300);
+  assert.ok(b.state.items.has("p/j-1/0"));
+  assert.deepEqual(b.starts("j-1"), []);
+  b.cancel("j-1");
+  b.silenceDo();
+  b.pass(3000);
+  const answer = b.report("A");
+  assert.ok(
+    answer?.t === "orders" && answer.orders.every((o) => b.core.directory.jobs.name(o.job) !== "j-1"),
+  );
+  b.pass(500);
+  assert.deepEqual(b.starts("j-1"), []);
+  assert.ok(b.state.items.has("f/j-1"));
+});
+
+test("an ended attempt is not cleared while its done mark is still being written", () => {
+  const { b, attempt } = running();
+  for (let i = 0; i < 33; i++) {
+    b.pass(1000);
+    b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
+  }
+  b.submit(job("j-2", { tasks: 2 }));
+  b.pass(300);
+  const ended = b
+    .starts("j-2")
+    .map((s) => ({ ...s, uid: "j-2", state: "ended" as const, cause: "done" as const }));
+  b.silenceDo();
+  assert.equal(ended.length, 2);
+  const first: Said[] = ended.map((s, i) => (i === 0 ? s : { ...s, state: "running" }));
+  first.push({ uid: "j-1", task: 0, attempt, state: "running" });
+  b.stateRule = (call) => (call.t === "txn" && JSON.stringify(call).includes("p/j-2") ? "hang" : null);
+  const forgotten: string[] = [];
+  for (let i = 0; i < 45; i++) {
+    const answer = b.report("A", first);
+    if (answer?.t === "orders")
+      for (const o of answer.orders) if (o.op === "forget") forgotten.push(`${o.task}`);
+    b.pass(1000);
+  }
+  assert.ok(b.hung.length > 0, "the mark is under way");
+  assert.ok((b.core.leadership.reign?.token ?? 0) > tokenOf(ended[0]?.attempt ?? 0));
+  assert.deepEqual(forgotten, []);
+});
+
 test("a leader that the state service refuses launches nothing, answers reports for a time, then no more", () => {
   const { b, attempt } = running();
   const token = b.core.leadership.reign?.token;
@@ -252,7 +373,7 @@
   assert.equal(lease.b.starts("j-1").length, 2, "the lease is over");
 });
 
-test("a worker back with a new session has its full lease, also if only direct answers were heard", () => {
+test("a worker back with a new session gets work once it reports, not by direct answers alone, and has its full lease", () => {
   // Found by the property test: it was taken for dead by the lease of its former session (ran_twice).
   const { b } = running();
   b.cloudRule = () => ({ t: "refused", why: "" });
@@ -262,6 +383,10 @@
   b.give({ t: "tick" });
   reports();
   b.pass(300);
+  // A worker that reaches no controller, while direct commands reach it, loses whatever is started there.
+  assert.equal(b.starts("j-1").length, 1, "only the first attempt while it doesn't report");
+  b.report("A", [], { session: 2 });
+  b.pass(300);
   const { attempt } = b.starts("j-1").at(-1) ?? { attempt: 0 };
   b.answerDo("A", [{ uid: "j-1", task: 0, attempt, state: "running" }], { session: 2 });
   b.pass(5000);
