--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -5,6 +5,8 @@
 
 const TROUBLE_S = 150;
 const PLAY_S = 300;
+/** The last trouble may begin with the last second of troubles, and last for a minute. */
+const SETTLED_S = TROUBLE_S + 65;
 
 function randomJob(world: World, n: number, scale: number): JobSpec {
   const shape = (["array", "array", "service", "gang"] as const)[world.between(0, 3)] as Shape;
@@ -51,6 +53,9 @@
       if (uid !== undefined && second < TROUBLE_S) world.cancel(uid);
     }
     if (world.chance(0.1)) world.askForNothing();
+    if (world.chance(0.05)) world.submitOdd();
+    if (world.chance(0.1)) world.repeat(ids[world.between(0, Math.max(0, ids.length - 1))] ?? "");
+    if (second > SETTLED_S) world.lookForTheLeft();
     if (second < TROUBLE_S) world.hurt();
     // Services hold their team's share for good: they go, so that the rest can be seen to finish.
     if (second === TROUBLE_S + 10) {
@@ -74,6 +79,8 @@
   freeze: 0,
   masses: 0,
   roll: 0,
+  meet: 0,
+  cancelAtEnd: 0,
 };
 
 export const TROUBLES: Record<string, Trouble> = {
@@ -97,6 +104,8 @@
   "controllers that stand still": { ...NONE, freeze: 0.05, crash: 0.02 },
   "many machines together": { ...NONE, masses: 0.04 },
   "down, ended and rolled": { ...NONE, roll: 0.015, hang: 0.02 },
+  "two troubles that meet": { ...NONE, meet: 0.04 },
+  "meetings, and cancellations at the end": { ...NONE, meet: 0.03, cancelAtEnd: 0.5, crash: 0.02 },
   everything: {
     crash: 0.03,
     cut: 0.03,
@@ -111,9 +120,14 @@
     freeze: 0.015,
     masses: 0.01,
     roll: 0.004,
+    meet: 0.01,
+    cancelAtEnd: 0.1,
   },
 };
 
+/** What was sent before the cancellation may begin when its image is there; with a hanging machine, later still. */
+const LATE_START_MS = 12_000;
+
 /** Troubles that only a large fleet shows in full: played with some three hundred machines. */
 const LARGE = new Set(["many machines together", "down, ended and rolled", "everything"]);
 const LARGE_SCALE = 20;
@@ -131,9 +145,22 @@
         const unansweredS = (world.now - job.answeredAt) / 1000;
         assert.ok(unansweredS < 75, `seed ${seed}: ${job.spec.uid} is forgotten: ${unansweredS} s`);
       }
+      const late = world.lateStarts.filter((ms) => ms > LATE_START_MS);
+      assert.deepEqual(late, [], `seed ${seed}: starts long after a confirmed cancellation`);
       const finishable = [...world.jobs.values()].filter(
         (job) => job.spec.shape !== "service" && job.acceptedAt !== null && !job.cancelAsked,
       );
+      // Of each class, team and the largest jobs at least half is served; on few jobs that says nothing.
+      const largest = finishable.filter(({ spec }) => spec.tasks >= (spec.shape === "gang" ? 2 : 9));
+      const kinds = new Map([["the largest", largest]]);
+      for (const job of finishable)
+        for (const kind of [job.spec.jobClass, job.spec.team])
+          kinds.set(kind, [...(kinds.get(kind) ?? []), job]);
+      for (const [kind, jobs] of kinds) {
+        const served = jobs.filter((job) => job.finishedAt !== null).length;
+        if (jobs.length >= 3)
+          assert.ok(served * 2 >= jobs.length, `seed ${seed}: ${kind}: ${served} of ${jobs.length}`);
+      }
       const finished = finishable.filter((job) => job.toldDone).length;
       assert.ok(
         finished >= finishable.length * 0.9,
--- a/test/world.ts
+++ b/test/world.ts
@@ -102,6 +102,8 @@
   hungUntil: number;
   cutUntil: number;
   deafUntil: number;
+  /** Its reports reach no node, while direct commands reach it. */
+  muteUntil: number;
   session: number;
   sequence: number;
   token: number;
@@ -125,6 +127,8 @@
   answeredAt: number;
   readonly done: Set<number>;
   finishedAt: number | null;
+  /** Since when tasks of it wait though there is a place for them; null while there is none. */
+  leftSince: number | null;
 }
 
 interface Node {
@@ -139,6 +143,8 @@
   peersCutUntil: number;
   refusedUntil: number;
   workersCutUntil: number;
+  /** Follows get no answer, while all other calls do. */
+  followsHangUntil: number;
   /** Packets of a cut are delivered when it ends, not lost. */
   holds: boolean;
   /** It stands still until then, while its clocks run on. */
@@ -176,6 +182,10 @@
   readonly masses: number;
   /** The state service down, then all nodes end, one after the other, and all again. */
   readonly roll: number;
+  /** Two or three of the above and of those below within seconds, most of them of the leader. */
+  readonly meet: number;
+  /** The part of all jobs that are called off at the very moment of their end. */
+  readonly cancelAtEnd: number;
 }
 
 interface Event {
@@ -247,12 +257,18 @@
   readonly nodes: Node[];
   starts = 0;
   finished = 0;
+  /** How long after its user was told of the cancellation a task of a job began, each time that one did. */
+  readonly lateStarts: number[] = [];
   readonly logs: string[] = [];
   readonly #random;
   readonly #timeline = new Timeline();
   readonly #teams: Deployment["teams"];
   readonly #hires = new Map<string, string[]>();
   readonly #trouble: Trouble;
+  /** Until then transactions get no answer now and then, and are carried out seconds later. */
+  lateWritesUntil = 0;
+  slowStateUntil = 0;
+  #copiesUntil = 0;
   #nextMachine = 1;
   #nextReq = 1;
   readonly #answers = new Map<number, (a: UserAnswer) => void>();
@@ -277,6 +293,7 @@
       peersCutUntil: 0,
       refusedUntil: 0,
       workersCutUntil: 0,
+      followsHangUntil: 0,
       holds: false,
       frozenUntil: 0,
       frozeDeciding: false,
@@ -497,7 +514,7 @@
       const until = this.now + call.waitMs;
       const look = () => {
         if (node.epoch !== epoch) return;
-        if (this.now < Math.max(node.cutUntil, node.stateCutUntil)) {
+        if (this.now < Math.max(node.cutUntil, node.stateCutUntil, node.followsHangUntil)) {
           answer(timeoutMs, { t: "silent" });
           return;
         }
@@ -526,8 +543,16 @@
       answer(4, { t: "refused", why: "outage" });
       return;
     }
+    if (call.t === "txn" && this.now < this.lateWritesUntil && this.chance(0.3)) {
+      answer(timeoutMs, { t: "silent" });
+      this.#at(this.between(2000, 12_000), () => {
+        if (this.now >= this.state.outageUntil) this.state.run(call, this.now);
+      });
+      return;
+    }
     const lost = this.chance(0.002);
-    this.#at(this.between(1, 4), () => {
+    const slowMs = this.now < this.slowStateUntil ? this.between(0, 900) : 0;
+    this.#at(slowMs + this.between(1, 4), () => {
       if (this.now < this.state.outageUntil) {
         answer(3, { t: "refused", why: "outage" });
         return;
@@ -553,6 +578,7 @@
       hungUntil: 0,
       cutUntil: 0,
       deafUntil: 0,
+      muteUntil: 0,
       session: 1,
       sequence: 0,
       token: 0,
@@ -672,8 +698,10 @@
     const others = this.#holders(task.uid, task.task).filter((w) => w !== worker);
     if (others.length > 0)
       this.fault("ran_twice", `${task.uid}/${task.task} on ${worker.name} and ${others[0]?.name}`);
-    if (job.cancelledAt !== null && this.now - job.cancelledAt > 40_000) {
-      this.fault("ran_cancelled", `${task.uid} starts long after its cancellation`);
+    if (job.cancelledAt !== null) {
+      this.lateStarts.push(this.now - job.cancelledAt);
+      if (this.now - job.cancelledAt > 40_000)
+        this.fault("ran_cancelled", `${task.uid} starts long after its cancellation`);
     }
     if (spec.types && !spec.types.includes(worker.type.name))
       this.fault("wrong_place", `${task.uid} on a wrong type`);
@@ -719,7 +747,13 @@
     if (!job || cause !== "done") return;
     if (job.spec.shape === "gang") for (let i = 0; i < job.spec.tasks; i++) job.done.add(i);
     else job.done.add(task.task);
-    if (job.done.size === job.spec.tasks) job.finishedAt ??= this.now;
+    if (job.done.size === job.spec.tasks && job.finishedAt === null) {
+      job.finishedAt = this.now;
+      if (this.chance(this.#trouble.cancelAtEnd)) {
+        this.#at(this.between(0, 400), () => this.cancel(task.uid));
+        this.#at(this.between(0, 400), () => this.repeat(task.uid));
+      }
+    }
   }
 
   #gangTasks(uid: string, attempt: number): { worker: Worker; task: WorkerTask }[] {
@@ -825,7 +859,7 @@
       this.#at(2, fail);
       return;
     }
-    if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil)) {
+    if (this.now < Math.max(node.cutUntil, node.workersCutUntil, worker.cutUntil, worker.muteUntil)) {
       this.#at(4000, fail);
       return;
     }
@@ -869,7 +903,7 @@
       if (node.epoch !== epoch || !node.core) return;
       const report = this.#report(worker);
       this.#give(node, { t: "report", req, report: report(node), raw: report });
-      if (!this.chance(this.#trouble.copies)) return;
+      if (!this.chance(this.now < this.#copiesUntil ? 0.5 : this.#trouble.copies)) return;
       // From seconds to several leases later, at any node, also when the machine is gone.
       this.#at(this.between(500, 60_000), () => {
         const to = this.nodes[this.between(0, this.nodes.length - 1)];
@@ -1018,6 +1052,7 @@
       answeredAt: this.now,
       done: new Set(),
       finishedAt: null,
+      leftSince: null,
     };
     this.jobs.set(spec.uid, job);
     const attempt = (tries: number) => {
@@ -1088,6 +1123,116 @@
     attempt(40);
   }
 
+  /** Submits a job once more, as it was or with something missing: known, it is never turned away. */
+  repeat(uid: string): void {
+    const job = this.jobs.get(uid);
+    if (!job || job.acceptedAt === null) return;
+    const before = { cancelled: job.cancelledAt !== null, done: job.toldDone };
+    const spec = this.chance(0.3) ? "shape: missing" : job.spec;
+    this.#ask(
+      (req) => ({ t: "submit", req, uid, spec }),
+      (a) => {
+        if (a?.t === "accepted" && a.known) this.#told(job, a.view.phase, before);
+        else if (a !== null && a.t !== "later") this.fault("forgotten", `${uid}: ${a.t} to a repeat`);
+      },
+    );
+  }
+
+  /** Submits what can't run or lacks a field: it is never accepted. */
+  submitOdd(): void {
+    const odd: JobSpec = {
+      uid: `j-8${this.between(0, 99_999)}`,
+      jobClass: "odd",
+      team: this.chance(0.3) ? "nobody" : "red",
+      shape: "array",
+      priority: 1,
+      tasks: 1,
+      need: { cpu: 1_000_000, gpu: 0, ram: 0 },
+      image: "img-0",
+      imageGb: 1,
+      types: null,
+      zone: null,
+      oneZone: false,
+      spread: false,
+      spot: false,
+      estimateS: 1,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: null,
+    };
+    const spec = this.chance(0.5) ? "pieces: missing" : odd;
+    this.#ask(
+      (req) => ({ t: "submit", req, uid: odd.uid, spec }),
+      (a) => {
+        if (a?.t === "accepted") this.fault("accepted_odd", odd.uid);
+      },
+    );
+  }
+
+  /**
+   * With all troubles over: is there a job some of whose tasks wait although a machine that may take one has room, and its
+   * team is under its limit? It may not be so for 90 s.
+   */
+  lookForTheLeft(): void {
+    const free = new Map<Worker, Amount>();
+    const used = new Map<string, { cpu: number; gpu: number }>();
+    for (const w of this.workers.values()) {
+      if (!w.alive || this.now < w.upAt || w.noticeAt !== null) continue;
+      let { cpu, gpu, ram } = w.type.size;
+      for (const t of w.tasks) {
+        const spec = t.state === "ended" ? undefined : this.jobs.get(t.uid)?.spec;
+        if (!spec) continue;
+        cpu -= spec.need.cpu;
+        gpu -= spec.need.gpu;
+        ram -= spec.need.ram;
+        const team = used.get(spec.team) ?? { cpu: 0, gpu: 0 };
+        used.set(spec.team, { cpu: team.cpu + spec.need.cpu, gpu: team.gpu + spec.need.gpu });
+      }
+      free.set(w, { cpu, gpu, ram });
+    }
+    for (const job of this.jobs.values()) {
+      const { spec } = job;
+      const over = job.acceptedAt === null || job.cancelAsked || job.finishedAt !== null;
+      if (over || !this.#isLeft(spec, free, used.get(spec.team) ?? { cpu: 0, gpu: 0 })) {
+        job.leftSince = null;
+        continue;
+      }
+      job.leftSince ??= this.now;
+      if (this.now - job.leftSince >= 90_000) this.fault("left_waiting", spec.uid);
+    }
+  }
+
+  #isLeft(spec: JobSpec, free: ReadonlyMap<Worker, Amount>, use: { cpu: number; gpu: number }): boolean {
+    const running = new Set<number>();
+    for (const w of this.workers.values())
+      if (w.alive)
+        for (const t of w.tasks) if (t.uid === spec.uid && t.state !== "ended") running.add(t.task);
+    const done = this.jobs.get(spec.uid)?.done ?? new Set<number>();
+    let waiting = 0;
+    for (let i = 0; i < spec.tasks; i++) if (!running.has(i) && !done.has(i)) waiting++;
+    if (waiting === 0 || (spec.shape === "gang" && running.size > 0)) return false;
+    const limit = this.#teams.find((t) => t.name === spec.team)?.limit;
+    const atOnce = spec.shape === "gang" ? spec.tasks : 1;
+    if (!limit || use.cpu + spec.need.cpu * atOnce > limit.cpu) return false;
+    if (use.gpu + spec.need.gpu * atOnce > limit.gpu) return false;
+    const places = new Map<string, number>();
+    for (const [w, { cpu, gpu, ram }] of free) {
+      if (spec.types && !spec.types.includes(w.type.name)) continue;
+      if ((spec.zone !== null && spec.zone !== w.zone) || (w.spot && !spec.spot)) continue;
+      const { need } = spec;
+      const fit = Math.min(
+        Math.floor(cpu / need.cpu),
+        need.gpu > 0 ? Math.floor(gpu / need.gpu) : Number.POSITIVE_INFINITY,
+        Math.floor(ram / need.ram),
+      );
+      const zone = spec.oneZone ? w.zone : "";
+      places.set(zone, (places.get(zone) ?? 0) + Math.max(0, fit));
+    }
+    // Where the tasks must be spread, the zone with room may be the one that has its half.
+    if (spec.spread) return false;
+    return [...places.values()].some((n) => n >= atOnce);
+  }
+
   /** Asks about a job nobody has submitted. */
   askForNothing(): void {
     this.#ask(
@@ -1132,6 +1277,7 @@
     }
     if (node && this.chance(t.freeze)) this.freeze(node.ix, this.between(1000, 45_000));
     if (this.chance(t.masses)) this.#fallTogether(workers);
+    if (this.chance(t.meet)) this.#meet(workers);
     if (this.chance(t.roll)) this.#roll();
     if (worker && this.chance(t.deaf)) worker.deafUntil = this.now + this.between(5000, 60_000);
     if (this.chance(t.outage)) this.#outage(this.between(2000, 20_000));
@@ -1148,6 +1294,103 @@
     }
   }
 
+  /**
+   * Troubles meet, worst aligned: something befalls the leader or a good part of the machines, users cancel in that very
+   * moment, and in the middle of it the leader ends, or the state service is down for longer than a cancellation may take.
+   */
+  #meet(workers: readonly Worker[]): void {
+    const leader = this.nodes.find((n) => n.core?.reign) ?? this.nodes[0];
+    if (!leader) return;
+    const forMs = this.between(2000, 40_000);
+    const until = this.now + forMs;
+    const some = workers.filter(() => this.chance(0.3));
+    const first: readonly (() => void)[] = [
+      () => {
+        leader.refusedUntil = until;
+      },
+      () => {
+        leader.stateCutUntil = until;
+        leader.peersCutUntil = until;
+        leader.holds = this.chance(0.5);
+      },
+      () => {
+        leader.peersCutUntil = until;
+        leader.refusedUntil = until;
+      },
+      () => {
+        leader.workersCutUntil = until;
+        leader.holds = true;
+      },
+      () => {
+        // It renews on, and is told of nothing.
+        leader.followsHangUntil = this.now + 50_000;
+        leader.peersCutUntil = leader.followsHangUntil;
+      },
+      () => this.freeze(leader.ix, forMs),
+      () => {
+        for (const w of some) w.hungUntil = until;
+      },
+      () => {
+        for (const w of some) w.deafUntil = until;
+      },
+      () => {
+        for (const w of some) w.muteUntil = until;
+      },
+      () => {
+        for (const w of workers) if (w.zone === "a") w.cutUntil = until;
+      },
+      () => {
+        this.lateWritesUntil = until;
+      },
+      () => {
+        this.#copiesUntil = until;
+      },
+      () => {
+        this.slowStateUntil = until;
+      },
+    ];
+    const second: readonly (() => void)[] = [
+      () => this.#outage(this.between(2000, 60_000)),
+      () => this.#outage(this.between(41_000, 60_000)),
+      () => this.crash(leader.ix, this.between(50, 4000)),
+      () => {
+        for (const n of this.nodes) this.crash(n.ix, this.between(50, 16_000));
+      },
+      () => {
+        for (let i = 0; i < 10; i++)
+          this.#at(i * 4000, () => {
+            const now = this.nodes.find((n) => n.core?.reign);
+            if (now) this.crash(now.ix, this.between(50, 3000));
+          });
+      },
+    ];
+    const begin = first[this.between(0, first.length - 1)];
+    const other = this.chance(0.4) ? first[this.between(0, first.length - 1)] : undefined;
+    const middle = second[this.between(0, second.length - 1)];
+    begin?.();
+    other?.();
+    const at = this.between(0, 3500);
+    this.#at(at, () =>
+      this.#cancelNow(this.between(1, 3), this.chance(0.5) ? this.between(2000, 30_000) : 0),
+    );
+    if (this.chance(0.3)) return;
+    this.#at(this.chance(0.7) ? at + this.between(0, 1500) : this.between(0, forMs), () => middle?.());
+  }
+
+  /** Users call off jobs that run, those with long to go first; machines of theirs may hang from that moment. */
+  #cancelNow(count: number, hangMs: number): void {
+    const on = new Map<string, Worker[]>();
+    for (const w of this.workers.values())
+      if (w.alive)
+        for (const t of w.tasks) if (t.state !== "ended") on.set(t.uid, [...(on.get(t.uid) ?? []), w]);
+    const isLong = (uid: string) => (this.jobs.get(uid)?.spec.shape === "service" ? 0 : 1);
+    const running = [...on].sort(([a], [b]) => isLong(a) - isLong(b));
+    for (const [uid, machines] of running.slice(0, count)) {
+      this.cancel(uid);
+      if (hangMs > 0) for (const w of machines.slice(0, 4)) w.hungUntil = this.now + hangMs;
+    }
+  }
+
   /** A good part of the machines at once, mostly with a node's end in the middle of it. */
   #fallTogether(workers: readonly Worker[]): void {
     const forMs = this.between(5000, 40_000);
