Aged gangs that can still begin within four minutes go before those that can't

Their team's limit leaves less than is asked for; all gangs aged after 160 s were served first come first served, so that nearly all of them began too late (at 310 s). Now what has waited 200 to 420 s goes behind what can still begin in time, and takes no places gathered for it; after 420 s it has its turn. Tests: each of the two guards was taken out once, and they failed.

--- a/src/core/holds.ts
+++ b/src/core/holds.ts
@@ -1,5 +1,6 @@
 import { add, ZERO } from "./amount.js";
 import type { Context } from "./context.js";
+import { isTooLate } from "./order.js";
 import type { Job, Machine, Reservation } from "./tables.js";
 import type { Amount } from "./types.js";
 
@@ -24,7 +25,7 @@
     // machines idle. Aged ones hold a zone each: one after the other, the last waited for minutes more.
     const other = (zone: string) => {
       const holder = this.#zoneHolders.get(zone);
-      return holder && holder.job !== job && holder.until > now && holder.job.pending > 0 ? holder : null;
+      return holder && this.#keeps(holder, job) ? holder : null;
     };
     if (!firm && [...this.#zoneHolders.keys()].some(other)) return;
     const free = new Map<string, Machine[]>();
@@ -51,19 +52,26 @@
 
   #hold(machine: Machine, job: Job, firm: boolean): void {
     const held = machine.reserved;
-    if (held && held.until > this.#ctx.now && held.job !== job && (held.firm || !firm)) return;
+    if (held && this.#keeps(held, job) && (held.firm || !firm)) return;
     const until = this.#ctx.now + HOLD_MS;
     machine.reserved = { job, firm, until };
     job.reservesUntil = until;
   }
 
+  /** Does what is held for another stay so? Not what is held for a job that is too late, if this one is not. */
+  #keeps(held: { readonly job: Job; readonly until: number }, job: Job): boolean {
+    const ctx = this.#ctx;
+    if (held.job === job || held.until <= ctx.now || held.job.pending === 0) return false;
+    return !isTooLate(ctx, held.job) || isTooLate(ctx, job);
+  }
+
   /** What is left of a team's limit is kept for an aged gang that needs more of it. */
   readonly #limitHolders = new Map<string, { job: Job; until: number }>();
 
   holdLimit(job: Job): void {
     const { now } = this.#ctx;
     const holder = this.#limitHolders.get(job.spec.team);
-    if (holder && holder.job !== job && holder.until > now && holder.job.pending > 0) return;
+    if (holder && this.#keeps(holder, job)) return;
     this.#limitHolders.set(job.spec.team, { job, until: now + HOLD_MS });
   }
 
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -8,6 +8,10 @@
 
 /** After this long with nothing on a machine a job goes before its betters, whatever aims it has missed. */
 const AGED_S = 160;
+/** A job is to begin within four minutes. From here on, its image to be fetched, it hardly can. */
+const TOO_LATE_S = 200;
+/** What has missed that waits behind what can still make it, but not for ever. */
+const RESCUED_S = 420;
 /** Above all but guaranteed production work. */
 const AGED_RANK = 8;
 
@@ -16,9 +20,22 @@
  * within minutes. The wait counts from the recorded acceptance, so that it survives a change of leader.
  */
 export function isAged(ctx: Context, job: Job): boolean {
-  if (job.held.size > 0) return false;
-  const waitedMs = Math.min(ctx.wallMs - job.acceptedAt, ctx.now - job.lastHeldAt);
-  return waitedMs > AGED_S * 1000;
+  return waitedS(ctx, job) > AGED_S;
+}
+
+/** How long nothing of a job has been on a machine. */
+function waitedS(ctx: Context, job: Job): number {
+  if (job.held.size > 0) return 0;
+  return Math.min(ctx.wallMs - job.acceptedAt, ctx.now - job.lastHeldAt) / 1000;
+}
+
+/**
+ * True for an aged job that can't begin in time any more. With more aged work than room, first come first served would
+ * let every one of them begin too late.
+ */
+export function isTooLate(ctx: Context, job: Job): boolean {
+  const s = waitedS(ctx, job);
+  return s > TOO_LATE_S && s <= RESCUED_S;
 }
 
 /** How much a job's aims press: 0 the next one can be met, 1 it has time after a missed one, 2 all are missed. */
@@ -104,7 +121,8 @@
   const keyed = jobs.map((job) => {
     const ageS = (wallNow - job.acceptedAt) / 1000;
     const rank = job.spec.priority * 2 + (guaranteed.has(job) ? guaranteeBoost(ctx, ageS) : 0);
-    if (isAged(ctx, job)) return { job, rank: Math.max(rank, AGED_RANK), late: 0, left: 0 };
+    if (isAged(ctx, job))
+      return { job, rank: Math.max(rank, AGED_RANK), late: isTooLate(ctx, job) ? 1 : 0, left: 0 };
     return {
       job,
       rank,
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -622,3 +622,55 @@
   };
   assert.deepEqual([ages("j-1"), ages("j-2")], [false, true]);
 });
+
+test("aged gangs that can still begin within four minutes go before those that can't, which wait no more than some minutes", () => {
+  const gang = { shape: "gang", priority: 2, types: ["gpu"], tasks: 2, oneZone: true } as const;
+  const wide = { ...gang, need: { cpu: 6000, gpu: 2000, ram: 8000 }, team: "red" };
+  // The other is too late when places come free; at 440 s it has its turn again, whatever came since.
+  for (const [lateS, first] of [
+    [230, "j-2"],
+    [440, "j-1"],
+  ] as const) {
+    const b = new Bench().lead();
+    b.submit(job("j-1", wide));
+    b.pass((lateS - 175) * 1000);
+    b.submit(job("j-2", wide));
+    b.pass(175_000);
+    const held = new Map<string, Said[]>([
+      ["G0", []],
+      ["G1", []],
+    ]);
+    beat(b, held, { G0: GPU, G1: GPU }, 3);
+    const runs = (uid: string) => [...held.keys()].filter((name) => live(held, name, uid).length > 0).length;
+    assert.equal(runs(first), 2, `after ${lateS} s`);
+  }
+});
+
+test("places gathered for an aged gang that is too late go to one that is not", () => {
+  const wide = {
+    shape: "gang",
+    priority: 2,
+    types: ["gpu"],
+    need: { cpu: 6000, gpu: 2000, ram: 8000 },
+    oneZone: true,
+  } as const;
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>(["G0", "G1"].map((name) => [name, []]));
+  const more = { G0: GPU, G1: GPU, G2: GPU };
+  // One place of two is taken for good; the first gang holds the other, and grows too late.
+  b.report("G0", [], GPU);
+  b.submit(job("j-0", { ...wide, tasks: 1, team: "red" }));
+  settle(b, held, more);
+  b.submit(job("j-1", { ...wide, tasks: 2, team: "blue" }));
+  const waits = (seconds: number) => {
+    const until = b.now + seconds * 1000;
+    while (b.now < until) beat(b, held, more, 1);
+  };
+  waits(60);
+  b.submit(job("j-2", { ...wide, tasks: 2, team: "blue" }));
+  waits(168);
+  held.set("G2", []);
+  beat(b, held, more, 3);
+  const runs = (uid: string) => [...held.keys()].filter((name) => live(held, name, uid).length > 0).length;
+  assert.deepEqual([runs("j-1"), runs("j-2")], [0, 2]);
+});
