--- /dev/null
+++ b/test/known-red.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+
+const GREEN = "ok 1 - keeps, and holds\n    not ok 1 - a subtest\nok 2 - lets go\n";
+const RED = "ok 1 - keeps, and holds\nnot ok 2 - lets go\n";
+const LINE = "lets go | the cause, as found | issue 13";
+
+/** The verdict of CI on a run of the tests, and what it prints. */
+function judge(output: string, status: number, list: string | null): { passed: boolean; said: string } {
+  const dir = mkdtempSync(join(tmpdir(), "known-red-"));
+  writeFileSync(join(dir, "output"), output);
+  if (list !== null) writeFileSync(join(dir, "list"), list);
+  const args = [".ci/known-red.mjs", join(dir, "list"), join(dir, "output"), String(status)];
+  const { status: code, stdout } = spawnSync(process.execPath, args, { encoding: "utf8" });
+  return { passed: code === 0, said: stdout };
+}
+
+test("CI passes over listed failures alone, prints them, and bears no list that is wrong", () => {
+  assert.equal(judge(GREEN, 0, null).passed, true);
+  assert.equal(judge(GREEN, 0, "").passed, true);
+  assert.equal(judge(RED, 1, null).passed, false);
+  assert.equal(judge(RED, 1, "\n").passed, false);
+  const known = judge(RED, 1, `${LINE}\n`);
+  assert.equal(known.passed, true);
+  assert.match(known.said, /known red: lets go \| the cause/);
+  for (const [output, status, list] of [
+    ["ok 1 - a\nnot ok 2 - lets go\nnot ok 3 - another\n", 1, LINE],
+    [GREEN, 0, LINE],
+    [RED, 1, `${LINE}\nno such test | cause | issue 13`],
+    [RED, 1, "lets go"],
+    [RED, 1, [LINE, ...["a", "b", "c"].map((name) => `${name} | cause | issue 13`)].join("\n")],
+    [
+      "not ok 1 - a\nnot ok 2 - b\nnot ok 3 - c\nnot ok 4 - d\n",
+      1,
+      "abcd"
+        .split("")
+        .map((n) => `${n} | x | y`)
+        .join("\n"),
+    ],
+    [GREEN, 7, null],
+    ["", 0, null],
+  ] as const) {
+    assert.equal(judge(output, status, list).passed, false, `${output} ${status} ${list}`);
+  }
+});
