The pending move and the machine types are written on their versions; the move's key is never removed

Cause: going through what may be carried out late (a transaction without an answer, after newer ones of the same controller): the move's key was written on the leader's key alone, and removed when the move was over; with a condition on its version alone a late record of an older move still passed, as a key that is gone has version 0 again. Now the key stays, empty. The machine types are conditioned too. Ruled out by the same test, which carries out every write of a leader once more: placements, machines, epoch, job keys.

--- a/src/core/mover.ts
+++ b/src/core/mover.ts
@@ -60,7 +60,8 @@
     const job = record ? this.#tables.jobByUid(record.job) : undefined;
     const from = record ? this.#machine(record.from) : undefined;
     const to = record ? this.#machine(record.to) : undefined;
-    if (!record || !job || !from || !to) {
+    if (!record) return;
+    if (!job || !from || !to) {
       this.#clear();
       return;
     }
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -7,6 +7,7 @@
   type ChunkRecord,
   KEYS,
   type MoveRecord,
+  NO_MOVE,
   toRanges,
 } from "./records.js";
 import type { Job, Machine, Placement, Tables } from "./tables.js";
@@ -76,13 +77,15 @@
   readonly #gone = new Set<string>();
   readonly #buckets: Bucket[] = [];
   #move: { value: MoveRecord | null; then: () => void } | null = null;
+  #moveVersion: number;
   #busy = false;
   #retryAt = 0;
   #allowance: number;
   #allowanceAt: number;
   over = false;
 
-  constructor(ctx: Context, reign: Reigning, tables: Tables, events: RecorderEvents) {
+  constructor(ctx: Context, reign: Reigning, tables: Tables, moveVersion: number, events: RecorderEvents) {
+    this.#moveVersion = moveVersion;
     this.#ctx = ctx;
     this.#reign = reign;
     this.#tables = tables;
@@ -213,7 +216,9 @@
       batch.move = this.#move;
       this.#move = null;
       const { value } = batch.move;
-      batch.changes.push(value ? { put: KEYS.move, value } : { remove: KEYS.move });
+      batch.conditions.push({ key: KEYS.move, version: this.#moveVersion });
+      // Never removed: a key that is gone has version 0 again, and a late copy of an older record would pass.
+      batch.changes.push({ put: KEYS.move, value: value ?? NO_MOVE });
     }
     // Starts first, with room left for what users wait to be told, then done marks whose time has come. Done marks
     // used to ride along with any start: at the grown sizes they took the writes that starts were waiting for.
@@ -325,6 +330,7 @@
       if (!placement.durable) placement.allowedAt = askedAt;
       placement.durable = true;
     }
+    if (batch.move) this.#moveVersion = revision;
     batch.move?.then();
     if (batch.placements.length > 0) this.#events.recorded(batch.placements);
     for (const job of batch.finals) {
@@ -364,6 +370,10 @@
       };
       if (failed.includes(key)) stale.push({ key, take });
     }
+    const takeMove = (version: number) => {
+      this.#moveVersion = version;
+    };
+    if (failed.includes(KEYS.move)) stale.push({ key: KEYS.move, take: takeMove });
     const jobs = new Set<Job>();
     for (const { job } of batch.chunks) if (failed.includes(KEYS.job(job.uid))) jobs.add(job);
     for (const job of batch.finals) if (failed.includes(KEYS.job(job.uid))) jobs.add(job);
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -80,6 +80,9 @@
 });
 const modesRecord = v.record(v.string(), v.picklist(["cordon", "drain"]));
 
+/** What the move's key holds while none is pending. */
+export const NO_MOVE = {};
+
 export type JobRecord = { state: "active" | "cancelled"; acceptedAt: number; spec: JobSpec };
 export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
 export type BucketRecord = v.InferOutput<typeof bucketRecord>;
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -58,7 +58,7 @@
     this.reigning = reigning;
     this.tables = new Tables(ctx.directory);
     this.tables.setTypes(view.types);
-    this.recorder = new Recorder(ctx, reigning, this.tables, {
+    this.recorder = new Recorder(ctx, reigning, this.tables, view.move?.version ?? 0, {
       recorded: (placements) => this.#recorded(placements),
       jobChanged: (job) => this.#reread(job),
       finished: (job) => this.#finished(job),
@@ -488,7 +488,10 @@
       JSON.stringify(list.map(({ name, size, zones }) => [name, size, zones]));
     if (this.#writingTypes || essence(types) === essence(this.#view.types)) return;
     this.#writingTypes = true;
-    const conditions = [{ key: KEYS.leader, version: this.reigning.version }];
+    const conditions = [
+      { key: KEYS.leader, version: this.reigning.version },
+      { key: KEYS.types, version: this.#view.typesVersion },
+    ];
     const changes = [{ put: KEYS.types, value: types }];
     this.#ctx.state({ t: "txn", conditions, changes }, LIST_MS, (answer) => {
       this.#writingTypes = false;
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { tokenOf } from "../src/core/tables.js";
+import type { StateCall } from "../src/core/types.js";
 import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
 
@@ -822,3 +823,40 @@
   assert.ok(JSON.stringify(bucket?.value).includes('"A"'));
   assert.equal(bucket?.version, b.state.items.get("p/j-1/0")?.version, "in the same transaction");
 });
+
+test("every write of a leader depends on what it replaces: none that is carried out late undoes a newer one", () => {
+  const b = new Bench().lead();
+  const sent: StateCall[] = [];
+  b.stateRule = (call) => {
+    if (call.t === "txn" && call.changes.length > 0) sent.push(call);
+    return null;
+  };
+  // Work that begins and ends, a machine that goes, machine types that change, a token that is raised.
+  b.report("A");
+  b.submit(job("j-1"));
+  b.submit(job("j-2", { shape: "service", priority: 3, estimateS: 0 }));
+  b.pass(300);
+  const held = () => b.starts("j-2").map((s) => ({ ...s, uid: "j-2", state: "running" as const }));
+  const ended = b
+    .starts("j-1")
+    .map((s) => ({ ...s, uid: "j-1", state: "ended" as const, cause: "done" as const }));
+  b.answerDo("A", [...held(), ...ended]);
+  b.types = b.types.map((type) => ({ ...type, size: { ...type.size, ram: type.size.ram + 1000 } }));
+  for (let i = 0; i < 70; i++) {
+    b.report("A", [...held(), ...ended]);
+    b.pass(1000);
+  }
+  b.core.reign?.recorder.setMove({ job: "j-2", task: 0, from: "A", to: "B", startedAt: 1 }, () => {});
+  b.pass(300);
+  b.core.reign?.recorder.setMove(null, () => {});
+  b.pass(300);
+  const writes = new Set(
+    sent.flatMap((c) => (c.t === "txn" ? c.changes.map((x) => ("put" in x ? x.put : x.remove)) : [])),
+  );
+  for (const key of ["c/move", "c/types", "c/epoch", "j/j-1", "f/j-1", "p/j-2/0", "m/0"])
+    assert.ok(writes.has(key), `${key} was written`);
+  b.stateRule = null;
+  const before = JSON.stringify([...b.state.items]);
+  for (const call of sent) if (call.t !== "follow") b.state.run(call, b.now);
+  assert.equal(JSON.stringify([...b.state.items]), before);
+});
