--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -64,8 +64,9 @@
     .description("run a node")
     .requiredOption("--config <file>", "the platform's settings (TOML)")
     .action(async ({ config }: { config: string }) => {
-      const { serve } = await import("../shell/serve.js");
-      serve(config);
+      const { loadServer } = await import("./server-bundle.js");
+      const { server, cacheProblem } = loadServer();
+      server.serve(config, cacheProblem);
     });
   program
     .command("submit")
--- /dev/null
+++ b/src/shell/compile-ahead.ts
@@ -0,0 +1,44 @@
+import { parseSettings } from "../config/settings.js";
+import { Controller } from "../core/controller.js";
+import type { Command } from "../core/types.js";
+import { createServer } from "./api.js";
+import { openLog } from "./log.js";
+import { Loop } from "./loop.js";
+import { shareSockets } from "./sockets.js";
+
+/** The least that the settings check accepts; nothing is opened or sent. */
+const SAMPLE = `
+node = "sample"
+site = "zone"
+client_listen = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["zone"]
+teams = [{ name = "team" }]
+workers = { report_s = 2.0, lease_s = 14.0, gang_wait_s = 50.0, gang_peer_s = 5.0, cancel_s = 44.0 }
+state = { rps = 250.0, write_rps = 100.0, value_kb = 32.0, txn_ops = 48 }
+cloud = { rps = 5.0, list_lag_s = 10.0 }
+`;
+const TICKS = 20;
+const TICK_MS = 100;
+
+/** Runs what every start runs, without input or output, so that the code cache holds it compiled. */
+export function compileAhead(): void {
+  const settings = parseSettings(SAMPLE);
+  const identity = { incarnation: "sample", seed: 1, epochMs: 0 };
+  const loop = new Loop(settings, identity, openLog("error", settings.deployment.node));
+  createServer(loop, shareSockets(settings.maxConnections));
+  const controller = new Controller(settings.deployment, identity);
+  const budget = { spent: () => false };
+  for (let i = 0; i < TICKS; i++) {
+    const answers: Command[] = [{ t: "tick" }];
+    for (const effect of controller.handle(answers, i * TICK_MS, budget)) {
+      if (effect.t !== "state") continue;
+      const answer = { t: "page", items: [], more: false, revision: 1 } as const;
+      controller.handle([{ t: "state", id: effect.id, answer }], i * TICK_MS, budget);
+    }
+  }
+}
--- a/src/shell/serve.ts
+++ b/src/shell/serve.ts
@@ -5,10 +5,13 @@
 import { Loop } from "./loop.js";
 import { shareSockets } from "./sockets.js";
 
-/** Runs a node until it is killed. */
-export function serve(configPath: string): void {
+export { compileAhead } from "./compile-ahead.js";
+
+/** Runs a node until it is killed. `cacheProblem` tells why this program was loaded without its code cache. */
+export function serve(configPath: string, cacheProblem: string | null): void {
   const settings = loadSettings(configPath);
   const log = openLog(process.env.LOG_LEVEL, settings.deployment.node);
+  if (cacheProblem !== null) log.info({ why: cacheProblem }, "started without the code cache");
   const nonce = randomBytes(8);
   const identity = {
     incarnation: nonce.toString("hex"),
