--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,12 +2,16 @@
 import { parse } from "smol-toml";
 import * as v from "valibot";
 import { needOf, offerOf } from "../core/amount.js";
-import type { Deployment } from "../core/types.js";
+import type { Deployment, StateLimits } from "../core/types.js";
 
 const text = v.pipe(v.string(), v.nonEmpty());
 const endpoint = v.pipe(v.string(), v.regex(/^[^\s:]+:\d{1,5}$/, "must be host:port"));
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
 const amount = v.optional(v.pipe(v.number(), v.finite(), v.minValue(0)), 0);
+/** A move, a start with the record of its machine, and a job's two keys at its end have to fit in one transaction. */
+const txnOps = v.pipe(v.number(), v.integer(), v.minValue(4));
+/** The records of ordinary jobs need this much. */
+const LEAST_VALUE_KB = 1;
 
 const schema = v.object({
   node: text,
@@ -44,7 +48,15 @@
       rps: positive,
       write_rps: positive,
       value_kb: positive,
-      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(4)),
+      txn_ops: txnOps,
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(positive),
+          txn_ops: v.optional(txnOps),
+        }),
+      ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: v.pipe(v.number(), v.finite(), v.minValue(0)) }),
     quota: v.optional(
@@ -92,6 +104,18 @@
   return parseSettings(source);
 }
 
+/** The limits to come; what they don't name stays as it is. */
+function nextLimits(state: v.InferOutput<typeof schema>["deployment"]["state"]): StateLimits | null {
+  const { next } = state;
+  if (!next) return null;
+  return {
+    rps: next.rps ?? state.rps,
+    writeRps: next.write_rps ?? state.write_rps,
+    valueBytes: (next.value_kb ?? state.value_kb) * 1024,
+    txnOps: next.txn_ops ?? state.txn_ops,
+  };
+}
+
 export function parseSettings(source: string): Settings {
   let raw: unknown;
   try {
@@ -114,6 +138,12 @@
   if (s.known.some((peer) => peer.node === s.node)) {
     throw new SettingsError("known: names this node itself");
   }
+  for (const [field, valueKb] of [
+    ["deployment.state.value_kb", d.state.value_kb],
+    ["deployment.state.next.value_kb", d.state.next?.value_kb ?? d.state.value_kb],
+  ] as const) {
+    if (valueKb < LEAST_VALUE_KB) throw new SettingsError(`${field}: must be at least ${LEAST_VALUE_KB}`);
+  }
   if (d.workers.lease_s <= d.workers.report_s) {
     throw new SettingsError("deployment.workers.lease_s: must be longer than report_s");
   }
@@ -148,6 +178,7 @@
       stateWriteRps: d.state.write_rps,
       valueBytes: d.state.value_kb * 1024,
       txnOps: d.state.txn_ops,
+      stateNext: nextLimits(d.state),
       cloudRps: d.cloud.rps,
       listLagS: d.cloud.list_lag_s,
     },
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,6 +1,7 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { defaultOperator, type OperatorSettings } from "../config/operator.js";
 import { Estimates } from "./estimates.js";
+import { Limits } from "./limits.js";
 import type { Directory } from "./names.js";
 import type {
   CloudAnswer,
@@ -25,6 +26,7 @@
   readonly directory: Directory;
   readonly random: RandomGenerator;
   readonly estimates = new Estimates();
+  readonly limits: Limits;
   #effects: Effect[] = [];
   #nextId = 1;
   readonly #stateWaiting = new Map<number, (answer: StateAnswer) => void>();
@@ -39,6 +41,7 @@
   constructor(deployment: Deployment, directory: Directory, random: RandomGenerator, epochMs: number) {
     this.#epochMs = epochMs;
     this.deployment = deployment;
+    this.limits = new Limits(deployment);
     this.directory = directory;
     this.random = random;
   }
@@ -78,7 +81,8 @@
     const then = this.#stateWaiting.get(id);
     if (!then) return;
     this.#stateWaiting.delete(id);
-    if (answer.t === "silent" || answer.t === "refused") {
+    if (answer.t === "throttled") this.limits.throttled(this.now);
+    if (answer.t === "silent" || answer.t === "refused" || answer.t === "throttled") {
       this.stateFailingSince ??= this.now;
     } else {
       this.stateAnsweredAt = this.now;
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,10 +1,12 @@
 import { changeOperator, readOperator } from "../config/operator.js";
 import { type Budget, Context } from "./context.js";
+import { FeatureGate } from "./feature-gate.js";
 import { Intake, later } from "./intake.js";
 import { Leadership } from "./leadership.js";
+import { bytesOf } from "./limits.js";
 import { Directory } from "./names.js";
 import { seeded } from "./random.js";
-import { KEYS } from "./records.js";
+import { KEYS, PROTOCOL } from "./records.js";
 import { Reign } from "./reign.js";
 import type {
   AdminAnswer,
@@ -23,6 +25,8 @@
 const PEER_FRESH_MS = 3500;
 /** Without a leader a report waits this long for one: workers give up after 4 s. */
 const HOLD_REPORT_MS = 2000;
+/** A node that was last heard speaking the older protocol counts as such for so long. */
+const OLD_PEER_MS = 15_000;
 /** A leader that has heard none of at least so many machines for so many report intervals is cut off from them. */
 const DEAF_MIN = 3;
 const DEAF_REPORTS = 3;
@@ -52,6 +56,7 @@
   readonly view: ConfigView;
   readonly leadership: Leadership;
   readonly intake: Intake;
+  readonly gate: FeatureGate;
   reign: Reign | null = null;
   readonly #peers = new Map<string, Peer>();
   readonly #progress = new Map<string, { done: number; running: number }>();
@@ -72,7 +77,7 @@
     this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
       elected: (reigning) => {
         this.ctx.log("info", "elected", { token: reigning.token });
-        this.reign = new Reign(this.ctx, this.view, this.leadership, reigning);
+        this.reign = new Reign(this.ctx, this.view, this.leadership, reigning, this.gate);
         this.#beatAt = Number.NEGATIVE_INFINITY;
       },
       deposed: (why) => {
@@ -85,8 +90,10 @@
       startsUnderWay: () => this.reign?.fleet.startsUnderWay() ?? false,
       knownThrough: () => this.reign?.knownThrough ?? null,
     });
+    this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.reign);
     this.intake = new Intake(this.ctx, this.view, {
       learned: (item, cancelled) => this.#learned(item, cancelled),
+      oldPeerHeard: () => this.#oldPeerHeard,
       counts: (uid) => this.reign?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
     for (const name of deployment.peers) {
@@ -121,6 +128,14 @@
     return peers.length > 0 && !peers.some((peer) => this.#isFresh(peer));
   }
 
+  /** True while a node that is yet to be upgraded may lead: it would start jobs that wait for others. */
+  get #oldPeerHeard(): boolean {
+    if (this.gate.isOpen) return false;
+    return [...this.#peers].some(
+      ([node, { heardAt }]) => this.gate.isOld(node) && this.ctx.now - heardAt < OLD_PEER_MS,
+    );
+  }
+
   get leaderName(): string | null {
     if (this.reign) return this.ctx.deployment.node;
     return this.view.leader?.value.node ?? null;
@@ -208,6 +223,7 @@
     this.leadership.tick();
     this.reign?.tick(budget);
     const { now } = this.ctx;
+    if (this.reign && !this.gate.isOpen) this.gate.tick();
     if (now - this.#beatAt >= BEAT_MS) {
       this.#mayHandOver();
       this.#beat();
@@ -256,6 +272,7 @@
       leader: this.reign ? this.ctx.deployment.node : null,
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
       workersHeard: this.#workersHeard(),
+      protocol: PROTOCOL,
     };
     for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
   }
@@ -274,6 +291,7 @@
         peer.heardAt = this.ctx.now;
         peer.stateOk = message.stateOk;
         peer.workersHeard = message.workersHeard;
+        this.gate.peerSpeaks(from, message.protocol);
         this.leadership.sawToken(message.token);
         this.leadership.peerShows(from, message.token);
         break;
@@ -422,11 +440,18 @@
     answer: (a: AdminAnswer) => void,
     body: Record<string, unknown>,
   ): void {
+    const tooLarge: AdminAnswer = { t: "bad", error: "too much to be kept in one record" };
+    if (bytesOf(value) > this.ctx.limits.valueBytes) {
+      answer(tooLarge);
+      return;
+    }
     const conditions = [{ key, version }];
     this.ctx.state({ t: "txn", conditions, changes: [{ put: key, value }] }, CALL_MS, (result) => {
       if (result.t === "ok") {
         this.view.note({ key, value, version: result.revision });
         answer({ t: "ok", body });
+      } else if (result.t === "invalid") {
+        answer(tooLarge);
       } else {
         answer(
           later(result.t === "conflict" ? "changed at the same time" : "the state service does not answer"),
@@ -466,6 +491,10 @@
       queue: [...tables.jobs.values()]
         .filter((job) => job.pending > 0)
         .map((job) => ({ job: job.uid, tasks: job.pending, why: job.waitsFor ?? "it is next" })),
+      awaiting: [...tables.jobs.values()]
+        .filter((job) => job.state === "active" && !job.released)
+        .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: reign.pipelines.waitsFor(job) })),
+      layout: this.view.layout,
       move: reign.mover.pending,
       moves: reign.mover.moves,
       rounds_cut: reign.scheduler.roundsCut,
--- /dev/null
+++ b/src/core/feature-gate.ts
@@ -0,0 +1,66 @@
+import type { Context } from "./context.js";
+import type { Reigning } from "./leadership.js";
+import { KEYS, PROTOCOL } from "./records.js";
+import type { ConfigView } from "./view.js";
+
+const CALL_MS = 1500;
+const RETRY_MS = 1000;
+
+/**
+ * Decides when records are written in the layouts of this version: once every node has said that it knows them, or the
+ * state service shows by its lower limits that the upgrade is over. The decision is on record, and never goes back.
+ */
+export class FeatureGate {
+  readonly #ctx: Context;
+  readonly #view: ConfigView;
+  readonly #leader: () => Reigning | null;
+  /** The protocol that each peer last said it speaks. */
+  readonly #peers = new Map<string, number>();
+  #writing = false;
+  #retryAt = 0;
+
+  constructor(ctx: Context, view: ConfigView, leader: () => Reigning | null) {
+    this.#ctx = ctx;
+    this.#view = view;
+    this.#leader = leader;
+  }
+
+  get isOpen(): boolean {
+    return this.#view.layout >= PROTOCOL;
+  }
+
+  /** What a peer's heartbeat says; nodes of the version before this one say nothing. */
+  peerSpeaks(node: string, protocol: number | undefined): void {
+    this.#peers.set(node, protocol ?? 1);
+  }
+
+  /** True if this peer, by its last word, is yet to be upgraded. */
+  isOld(node: string): boolean {
+    return (this.#peers.get(node) ?? PROTOCOL) < PROTOCOL;
+  }
+
+  tick(): void {
+    const { peers } = this.#ctx.deployment;
+    if (peers.every((node) => (this.#peers.get(node) ?? 0) >= PROTOCOL)) this.open("all nodes know them");
+  }
+
+  open(why: string): void {
+    const reign = this.#leader();
+    const { now } = this.#ctx;
+    if (this.isOpen || this.#writing || !reign || now < this.#retryAt || now >= reign.confirmedUntil) return;
+    this.#writing = true;
+    this.#retryAt = now + RETRY_MS;
+    const value = { layout: PROTOCOL };
+    const conditions = [
+      { key: KEYS.leader, version: reign.version },
+      { key: KEYS.features, version: this.#view.featuresVersion },
+    ];
+    this.#ctx.state({ t: "txn", conditions, changes: [{ put: KEYS.features, value }] }, CALL_MS, (answer) => {
+      this.#writing = false;
+      if (answer.t === "conflict") this.#view.refresh();
+      if (answer.t !== "ok") return;
+      this.#ctx.log("info", "records are written in the layouts of this version", { why });
+      this.#view.note({ key: KEYS.features, value, version: answer.revision });
+    });
+  }
+}
--- a/src/core/hirer.ts
+++ b/src/core/hirer.ts
@@ -243,7 +243,7 @@
         this.#ctx.log("info", "machine released", { machine: machine.name, why: machine.releaseWhy });
         this.#fleet.dropAll(machine, "released");
         this.#tables.released.set(machine.name, this.#ctx.now);
-        this.#recorder.machineGone(machine);
+        this.#recorder.machines.gone(machine);
         this.#tables.removeMachine(machine);
       }
     });
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -1,30 +1,35 @@
 import { times } from "./amount.js";
 import type { Context } from "./context.js";
-import { type JobRecord, KEYS, readFinal, readJob } from "./records.js";
+import { type Found, JobLookup, viewOfEnd } from "./job-lookup.js";
+import { cancelledRecord, fitsRecord, type JobRecord, KEYS, newJobRecord } from "./records.js";
 import { suitsType } from "./tables.js";
 import type { JobSpec, JobView, StateItem, UserAnswer } from "./types.js";
 import type { ConfigView } from "./view.js";
 
 const CALL_MS = 1500;
 const TRIES = 4;
-const FINALS_KEPT = 20_000;
-const VERSIONS_KEPT = 20_000;
 /** Conditions of a transaction, as a multiple of its changes. */
 const CONDITIONS = 4;
 
 export interface IntakeEvents {
   /** This node has written a job's key: accepted it, or cancelled it. */
   learned(item: StateItem, cancelled: boolean): void;
+  /** True while a node that knows nothing of jobs that wait for others may lead. */
+  oldPeerHeard(): boolean;
   /** Counts for display. */
   counts(uid: string): { done: number; running: number } | null;
 }
 
-/** What the state service says of a job; null when it could not be asked. */
-type Found =
-  | { readonly t: "active"; readonly item: StateItem; readonly record: JobRecord }
-  | { readonly t: "over"; readonly view: JobView }
-  | { readonly t: "absent" }
-  | null;
+type Answer = (answer: UserAnswer) => void;
+
+interface Poll {
+  readonly uid: string;
+  readonly answer: Answer;
+}
+
+type Refusal = Extract<UserAnswer, { t: "never" | "later" | "malformed" }>;
+
+const UNANSWERED = "the state service does not answer";
 
 /**
  * Users' requests, on every node, whoever leads. Each answer rests on the state service: what was
@@ -34,76 +39,86 @@
   readonly #ctx: Context;
   readonly #view: ConfigView;
   readonly #events: IntakeEvents;
-  /** Final states never change, so they may be remembered; oldest first. */
-  readonly #finals = new Map<string, JobView>();
-  /** Unfinished jobs as this node last read them; oldest first. Asked about again, only the version is compared. */
-  readonly #seen = new Map<string, { readonly version: number; readonly cancelled: boolean }>();
-  /** Polls of such jobs that wait to be answered together. */
-  #gathered: { readonly uid: string; readonly answer: (a: UserAnswer) => void }[] = [];
+  readonly #lookup: JobLookup;
+  /** Polls of unfinished jobs that wait to be answered together. */
+  #gathered: Poll[] = [];
 
   constructor(ctx: Context, view: ConfigView, events: IntakeEvents) {
     this.#ctx = ctx;
     this.#view = view;
     this.#events = events;
+    this.#lookup = new JobLookup(ctx);
   }
 
-  submit(uid: string, spec: JobSpec | string, answer: (a: UserAnswer) => void): void {
-    const over = this.#finals.get(uid);
-    if (over) {
-      answer({ t: "accepted", known: true, view: over });
-      return;
-    }
-    const refusal =
-      typeof spec === "string" ? ({ t: "malformed", error: spec } as const) : this.#refusal(spec);
-    if (refusal?.t === "later") {
-      answer(refusal);
+  /* ---- submissions ---- */
+
+  submit(uid: string, spec: JobSpec | string, answer: Answer): void {
+    const end = this.#lookup.end(uid);
+    if (end) {
+      answer({ t: "accepted", known: true, view: viewOfEnd(uid, end) });
       return;
     }
-    if (refusal || typeof spec === "string") {
-      // A known job is never turned away, whatever its repeated submission looks like now.
-      this.#find(uid, (found) => {
-        if (found === null) answer(later("the state service does not answer"));
-        else if (found.t === "absent") answer(refusal ?? later("undecided"));
-        else answer({ t: "accepted", known: true, view: this.#viewOfFound(uid, found) });
+    if (typeof spec === "string") this.#refuseUnlessKnown(uid, { t: "malformed", error: spec }, answer);
+    else {
+      this.#refusal(spec, (refusal) => {
+        if (refusal === null) this.#write(spec, answer);
+        else this.#refuseUnlessKnown(uid, refusal, answer);
       });
-      return;
     }
-    this.#write(spec, answer);
   }
 
-  #write(spec: JobSpec, answer: (a: UserAnswer) => void): void {
+  /** A known job is never turned away, whatever its repeated submission looks like now. */
+  #refuseUnlessKnown(uid: string, refusal: Refusal, answer: Answer): void {
+    this.#lookup.find(uid, (found) => {
+      if (found === null) answer(later(UNANSWERED));
+      else if (found.t === "absent") answer(refusal);
+      else this.#acceptedAlready(uid, found, answer);
+    });
+  }
+
+  #acceptedAlready(uid: string, found: Exclude<Found, null | { t: "absent" }>, answer: Answer): void {
+    this.#readView(uid, found, (view) => {
+      answer(view ? { t: "accepted", known: true, view } : later(UNANSWERED));
+    });
+  }
+
+  #write(spec: JobSpec, answer: Answer): void {
     const { uid } = spec;
-    const acceptedAt = Math.round(this.#ctx.wallMs);
-    const record: JobRecord = { state: "active", acceptedAt, spec };
-    this.#ctx.state(
-      {
-        t: "txn",
-        conditions: [
-          { key: KEYS.job(uid), version: 0 },
-          { key: KEYS.final(uid), version: 0 },
-        ],
-        changes: [{ put: KEYS.job(uid), value: record }],
-      },
-      CALL_MS,
-      (result) => {
-        if (result.t === "ok") {
-          this.#note(uid, result.revision, record);
-          this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision }, false);
-          answer({ t: "accepted", known: false, view: { uid, phase: "queued", done: 0, running: 0 } });
-        } else if (result.t === "conflict") {
-          this.#find(uid, (found) => {
-            if (found === null || found.t === "absent") answer(later("the state service does not answer"));
-            else answer({ t: "accepted", known: true, view: this.#viewOfFound(uid, found) });
-          });
-        } else {
-          answer(later("the state service does not answer"));
-        }
-      },
-    );
+    const record = newJobRecord(spec, Math.round(this.#ctx.wallMs));
+    const conditions = [
+      { key: KEYS.job(uid), version: 0 },
+      { key: KEYS.final(uid), version: 0 },
+    ];
+    const changes = [{ put: KEYS.job(uid), value: record }];
+    this.#ctx.state({ t: "txn", conditions, changes }, CALL_MS, (result) => {
+      if (result.t === "ok") {
+        this.#lookup.note(uid, result.revision, record);
+        this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision }, false);
+        const cancelled = this.#lookup.basis(uid).t === "cancelled";
+        const phase = cancelled ? "cancelled" : "queued";
+        answer({ t: "accepted", known: false, view: { uid, phase, done: 0, running: 0 } });
+      } else if (result.t === "conflict") {
+        this.#lookup.find(uid, (found) => {
+          if (found === null || found.t === "absent") answer(later(UNANSWERED));
+          else this.#acceptedAlready(uid, found, answer);
+        });
+      } else if (result.t === "invalid") {
+        this.#refuseUnlessKnown(uid, tooLarge(), answer);
+      } else {
+        answer(later(UNANSWERED));
+      }
+    });
+  }
+
+  /** Why a job can't be accepted, or why this node can't tell yet; null if it can. */
+  #refusal(spec: JobSpec, then: (refusal: Refusal | null) => void): void {
+    const refusal = this.#misfit(spec);
+    if (refusal || !spec.awaits) then(refusal);
+    else if (this.#events.oldPeerHeard()) then(later("a node is yet to be upgraded"));
+    else this.#refusalOfNeeds(spec.awaits, then);
   }
 
-  /** Why a job can never run, or why this node can't tell yet. */
-  #refusal(spec: JobSpec): Extract<UserAnswer, { t: "never" | "later" }> | null {
+  #misfit(spec: JobSpec): Refusal | null {
     const team = this.#ctx.deployment.teams.find((t) => t.name === spec.team);
     if (!team) return { t: "never", error: `crew: there is no team ${spec.team}` };
     if (this.#view.types.length === 0) return later("the machine types are not known yet");
@@ -115,66 +130,116 @@
     const room = times({ cpu: spec.need.cpu, gpu: spec.need.gpu, ram: 0 }, team.limit);
     if (room < atOnce)
       return { t: "never", error: `pieces: the job needs more than the limit of ${team.name}` };
-    return null;
+    return fitsRecord(spec, this.#ctx.wallMs, this.#ctx.limits.valueBytes) ? null : tooLarge();
   }
 
-  poll(uid: string, answer: (a: UserAnswer) => void): void {
-    const over = this.#finals.get(uid);
-    if (over) {
-      answer({ t: "view", view: over });
-    } else if (this.#seen.has(uid)) {
+  /** Each job that is named must have been accepted, by any node, and must not be a service. */
+  #refusalOfNeeds(needs: readonly string[], then: (refusal: Refusal | null) => void): void {
+    const unread = needs.filter((uid) => this.#lookup.isService(uid) === undefined);
+    let waiting = unread.length;
+    let refusal: Refusal | null = null;
+    const decide = () => {
+      const service = needs.find((uid) => this.#lookup.isService(uid) === true);
+      if (refusal === null && service !== undefined)
+        refusal = { t: "never", error: `awaits: ${service} is a service` };
+      then(refusal);
+    };
+    if (waiting === 0) decide();
+    for (const uid of unread) {
+      this.#lookup.find(uid, (found) => {
+        if (found === null) refusal ??= later(UNANSWERED);
+        else if (found.t === "absent") refusal = { t: "never", error: `awaits: there is no job ${uid}` };
+        if (--waiting === 0) decide();
+      });
+    }
+  }
+
+  /* ---- questions ---- */
+
+  poll(uid: string, answer: Answer): void {
+    const end = this.#lookup.end(uid);
+    if (end) {
+      answer({ t: "view", view: viewOfEnd(uid, end) });
+      return;
+    }
+    const basis = this.#lookup.basis(uid);
+    if (basis.t === "cancelled") answer({ t: "view", view: this.#viewOf(uid, true) });
+    else if (basis.t === "unread") this.#read(uid, answer);
+    else {
       this.#gathered.push({ uid, answer });
-      if (this.#gathered.length >= this.#ctx.deployment.txnOps * CONDITIONS) this.comparePolls();
-    } else {
-      this.#read(uid, answer);
+      if (this.#gathered.length >= this.#mostConditions) this.comparePolls();
     }
   }
 
+  get #mostConditions(): number {
+    return this.#ctx.limits.txnOps * CONDITIONS;
+  }
+
   /**
-   * Answers the gathered polls with one transaction that only compares: where a job's version is still the one this node
-   * has read, no node can have told anything newer. One read for each poll took half of the state service's requests.
+   * Answers the gathered polls with transactions that only compare: where the versions of a job, and of those it needs,
+   * are still those that this node has read, no node can have told anything newer. One read for each poll took half of
+   * the state service's requests.
    */
   comparePolls(): void {
     const polls = this.#gathered;
-    if (polls.length === 0) return;
     this.#gathered = [];
-    const asked = new Map<string, { readonly version: number; readonly cancelled: boolean }>();
-    for (const { uid } of polls) {
-      const seen = this.#seen.get(uid);
-      if (seen) asked.set(uid, seen);
+    let together: Poll[] = [];
+    let conditions = new Map<string, number>();
+    for (const poll of polls) {
+      const basis = this.#lookup.basis(poll.uid);
+      if (basis.t !== "versions" || basis.conditions.length > this.#mostConditions) {
+        this.#read(poll.uid, poll.answer);
+        continue;
+      }
+      const added = basis.conditions.filter(({ key }) => !conditions.has(key));
+      if (conditions.size + added.length > this.#mostConditions) {
+        this.#compare(together, conditions);
+        together = [];
+        conditions = new Map();
+      }
+      for (const { key, version } of basis.conditions) conditions.set(key, version);
+      together.push(poll);
     }
-    const conditions = [...asked].map(([uid, { version }]) => ({ key: KEYS.job(uid), version }));
+    if (together.length > 0) this.#compare(together, conditions);
+  }
+
+  #compare(polls: readonly Poll[], versions: ReadonlyMap<string, number>): void {
+    // What each answer rests on, as of now: a record that is read meanwhile must not vouch for this comparison.
+    const bases = polls.map(({ uid }) => this.#lookup.basis(uid));
+    const conditions = [...versions].map(([key, version]) => ({ key, version }));
     this.#ctx.state({ t: "txn", conditions, changes: [] }, CALL_MS, (result) => {
       const failed = new Set(result.t === "conflict" ? result.failed : []);
-      for (const { uid, answer } of polls) {
-        const seen = asked.get(uid);
-        if (result.t !== "ok" && result.t !== "conflict") answer(later("the state service does not answer"));
-        else if (seen && !failed.has(KEYS.job(uid)))
-          answer({ t: "view", view: this.#viewOf(uid, seen.cancelled) });
+      for (const [i, { uid, answer }] of polls.entries()) {
+        const basis = bases[i];
+        const holds = basis?.t === "versions" && !basis.conditions.some(({ key }) => failed.has(key));
+        if (result.t !== "ok" && result.t !== "conflict") answer(later(UNANSWERED));
+        else if (holds) answer({ t: "view", view: this.#viewOf(uid, false) });
         else this.#read(uid, answer);
       }
     });
   }
 
-  #read(uid: string, answer: (a: UserAnswer) => void): void {
-    this.#find(uid, (found) => {
-      if (found === null) answer(later("the state service does not answer"));
+  #read(uid: string, answer: Answer): void {
+    this.#lookup.find(uid, (found) => {
+      if (found === null) answer(later(UNANSWERED));
       else if (found.t === "absent") answer({ t: "unknown" });
-      else answer({ t: "view", view: this.#viewOfFound(uid, found) });
+      else {
+        this.#readView(uid, found, (view) => {
+          answer(view ? { t: "view", view } : later(UNANSWERED));
+        });
+      }
     });
   }
 
-  cancel(uid: string, answer: (a: UserAnswer) => void, tries = TRIES): void {
-    this.#find(uid, (found) => {
-      if (found === null) {
-        answer(later("the state service does not answer"));
-      } else if (found.t === "absent") {
-        answer({ t: "unknown" });
-      } else if (found.t === "over" || found.record.state === "cancelled") {
-        answer({ t: "view", view: this.#viewOfFound(uid, found) });
-      } else {
-        this.#writeCancelled(uid, found.item, found.record, answer, tries);
-      }
+  /* ---- cancellations ---- */
+
+  cancel(uid: string, answer: Answer, tries = TRIES): void {
+    this.#lookup.find(uid, (found) => {
+      if (found === null) answer(later(UNANSWERED));
+      else if (found.t === "absent") answer({ t: "unknown" });
+      else if (found.t === "over") answer({ t: "view", view: viewOfEnd(uid, found.end) });
+      else if (found.record.state === "cancelled") answer({ t: "view", view: this.#viewOf(uid, true) });
+      else this.#writeCancelled(uid, found.item, found.record, answer, tries);
     });
   }
 
@@ -182,71 +247,43 @@
     uid: string,
     item: StateItem,
     record: JobRecord,
-    answer: (a: UserAnswer) => void,
+    answer: Answer,
     tries: number,
+    valueBytes = this.#ctx.limits.valueBytes,
   ): void {
-    const value: JobRecord = { ...record, state: "cancelled" };
+    const value = cancelledRecord(record, valueBytes);
     const conditions = [{ key: item.key, version: item.version }];
     this.#ctx.state({ t: "txn", conditions, changes: [{ put: item.key, value }] }, CALL_MS, (result) => {
       if (result.t === "ok") {
-        this.#note(uid, result.revision, value);
+        this.#lookup.note(uid, result.revision, value);
         this.#events.learned({ key: item.key, value, version: result.revision }, true);
-        const { done = 0, running = 0 } = this.#events.counts(uid) ?? {};
-        answer({ t: "view", view: { uid, phase: "cancelled", done, running } });
+        answer({ t: "view", view: this.#viewOf(uid, true) });
       } else if (result.t === "conflict" && tries > 1) {
         // It was completed, or cancelled, at the same moment: the key tells which.
         this.cancel(uid, answer, tries - 1);
+      } else if (result.t === "invalid" && valueBytes > 0) {
+        // Too large, for a limit that nobody has told of: as small as it can be.
+        this.#writeCancelled(uid, item, record, answer, tries, 0);
       } else {
-        answer(later("the state service does not answer"));
+        answer(later(UNANSWERED));
       }
     });
   }
 
-  /**
-   * Reads a job's key, then its final one: a job moves from the first to the second in one transaction,
-   * so whoever finds neither, in this order, has proof that it was never accepted.
-   */
-  #find(uid: string, then: (found: Found) => void): void {
-    this.#ctx.state({ t: "get", key: KEYS.job(uid) }, CALL_MS, (answer) => {
-      if (answer.t === "item") {
-        const record = readJob(answer.item.value);
-        if (record) this.#note(uid, answer.item.version, record);
-        then(record ? { t: "active", item: answer.item, record } : null);
-      } else if (answer.t === "absent") {
-        this.#ctx.state({ t: "get", key: KEYS.final(uid) }, CALL_MS, (final) => {
-          if (final.t === "absent") then({ t: "absent" });
-          else if (final.t !== "item") then(null);
-          else then(this.#remember(uid, final.item));
-        });
-      } else {
-        then(null);
-      }
-    });
-  }
-
-  #note(uid: string, version: number, { state }: JobRecord): void {
-    this.#seen.delete(uid);
-    this.#seen.set(uid, { version, cancelled: state === "cancelled" });
-    trim(this.#seen, VERSIONS_KEPT);
-  }
+  /* ---- answers ---- */
 
-  #remember(uid: string, item: StateItem): Found {
-    this.#seen.delete(uid);
-    const record = readFinal(item.value);
-    if (!record) return null;
-    const view: JobView = {
-      uid,
-      phase: record.state,
-      done: record.state === "done" ? record.tasks : 0,
-      running: 0,
-    };
-    this.#finals.set(uid, view);
-    trim(this.#finals, FINALS_KEPT);
-    return { t: "over", view };
-  }
-
-  #viewOfFound(uid: string, found: Exclude<Found, null | { t: "absent" }>): JobView {
-    return found.t === "over" ? found.view : this.#viewOf(uid, found.record.state === "cancelled");
+  /** Null if what the job needs could not be read. */
+  #readView(
+    uid: string,
+    found: Exclude<Found, null | { t: "absent" }>,
+    then: (view: JobView | null) => void,
+  ): void {
+    if (found.t === "over") then(viewOfEnd(uid, found.end));
+    else {
+      this.#lookup.isCancelled(found.record, (cancelled) => {
+        then(cancelled === null ? null : this.#viewOf(uid, cancelled));
+      });
+    }
   }
 
   #viewOf(uid: string, cancelled: boolean): JobView {
@@ -256,11 +293,8 @@
   }
 }
 
-/** Drops the oldest entry of a map that has grown too large. */
-function trim(map: Map<string, unknown>, most: number): void {
-  if (map.size <= most) return;
-  const oldest = map.keys().next();
-  if (!oldest.done) map.delete(oldest.value);
+function tooLarge(): Refusal {
+  return { t: "malformed", error: "body: the job's description is too large to be kept" };
 }
 
 export function later(error: string, afterS = 1): Extract<UserAnswer, { t: "later" }> {
--- /dev/null
+++ b/src/core/job-lookup.ts
@@ -0,0 +1,193 @@
+import type { Context } from "./context.js";
+import { type JobRecord, KEYS, readFinal, readJob } from "./records.js";
+import type { JobView, StateCondition, StateItem } from "./types.js";
+
+const CALL_MS = 1500;
+const FINALS_KEPT = 20_000;
+const VERSIONS_KEPT = 20_000;
+
+/** What the state service says of a job; null when it could not be asked. */
+export type Found =
+  | {
+      readonly t: "active";
+      readonly item: StateItem;
+      readonly record: JobRecord;
+    }
+  | { readonly t: "over"; readonly end: KnownEnd }
+  | { readonly t: "absent" }
+  | null;
+
+/** A job's final state, which never changes. */
+export interface KnownEnd {
+  readonly cancelled: boolean;
+  readonly tasks: number;
+  readonly service: boolean;
+}
+
+/** An unfinished job as this node last read it. */
+interface Seen {
+  readonly version: number;
+  readonly cancelled: boolean;
+  readonly service: boolean;
+  readonly awaits: readonly string[];
+}
+
+/** What the answer about an unfinished job rests on. */
+export type Basis =
+  /** Cancelled, by its own record or that of a job it needs: this never changes. */
+  | { readonly t: "cancelled" }
+  /** Neither, as long as these versions are still the present ones. */
+  | { readonly t: "versions"; readonly conditions: readonly StateCondition[] }
+  /** Something of it has not been read by this node. */
+  | { readonly t: "unread" };
+
+/**
+ * Reads jobs from the state service, and remembers what may be: final states, and the versions of unfinished jobs. A job
+ * counts as cancelled with any job that it needs, directly or through others: that is derived from the records on every
+ * node, and so depends on no leader.
+ */
+export class JobLookup {
+  readonly #ctx: Context;
+  /** Oldest first. */
+  readonly #finals = new Map<string, KnownEnd>();
+  readonly #seen = new Map<string, Seen>();
+
+  constructor(ctx: Context) {
+    this.#ctx = ctx;
+  }
+
+  end(uid: string): KnownEnd | undefined {
+    return this.#finals.get(uid);
+  }
+
+  /** Whether a job that was accepted is a service; undefined if this node has not read it. */
+  isService(uid: string): boolean | undefined {
+    return this.#finals.get(uid)?.service ?? this.#seen.get(uid)?.service;
+  }
+
+  /** Takes note of a record that this node has read or written. */
+  note(uid: string, version: number, { state, spec }: JobRecord): void {
+    this.#seen.delete(uid);
+    this.#seen.set(uid, {
+      version,
+      cancelled: state === "cancelled",
+      service: spec.shape === "service",
+      awaits: spec.awaits ?? [],
+    });
+    trim(this.#seen, VERSIONS_KEPT);
+  }
+
+  /**
+   * Reads a job's key, then its final one: a job moves from the first to the second in one transaction,
+   * so whoever finds neither, in this order, has proof that it was never accepted.
+   */
+  find(uid: string, then: (found: Found) => void): void {
+    this.#ctx.state({ t: "get", key: KEYS.job(uid) }, CALL_MS, (answer) => {
+      if (answer.t === "item") {
+        const record = readJob(answer.item.value);
+        if (record) this.note(uid, answer.item.version, record);
+        then(record ? { t: "active", item: answer.item, record } : null);
+      } else if (answer.t === "absent") {
+        this.#findFinal(uid, then);
+      } else {
+        then(null);
+      }
+    });
+  }
+
+  #findFinal(uid: string, then: (found: Found) => void): void {
+    this.#ctx.state({ t: "get", key: KEYS.final(uid) }, CALL_MS, (final) => {
+      if (final.t === "absent") then({ t: "absent" });
+      else if (final.t !== "item") then(null);
+      else then(this.#remember(uid, final.item));
+    });
+  }
+
+  #remember(uid: string, item: StateItem): Found {
+    this.#seen.delete(uid);
+    const record = readFinal(item.value);
+    if (!record) return null;
+    const { state, tasks, service = false } = record;
+    const end = { cancelled: state === "cancelled", tasks, service };
+    this.#finals.set(uid, end);
+    trim(this.#finals, FINALS_KEPT);
+    return { t: "over", end };
+  }
+
+  /**
+   * Is this unfinished job cancelled, with what it needs taken into account? Everything that isn't final is read anew;
+   * null if that could not be done.
+   */
+  isCancelled({ state, spec }: JobRecord, then: (cancelled: boolean | null) => void): void {
+    if (state === "cancelled") then(true);
+    else this.#anyCancelled(spec.awaits ?? [], new Set([spec.uid]), then);
+  }
+
+  #anyCancelled(
+    uids: readonly string[],
+    visited: Set<string>,
+    then: (cancelled: boolean | null) => void,
+  ): void {
+    const unfinished: string[] = [];
+    for (const uid of uids) {
+      if (visited.has(uid)) continue;
+      visited.add(uid);
+      const end = this.#finals.get(uid);
+      if (end?.cancelled) {
+        then(true);
+        return;
+      }
+      if (!end) unfinished.push(uid);
+    }
+    if (unfinished.length === 0) {
+      then(false);
+      return;
+    }
+    const needed: string[] = [];
+    let waiting = unfinished.length;
+    let [cancelled, unread] = [false, false];
+    for (const uid of unfinished) {
+      this.find(uid, (found) => {
+        if (found?.t === "active") {
+          cancelled ||= found.record.state === "cancelled";
+          needed.push(...(found.record.spec.awaits ?? []));
+        } else if (found?.t === "over") cancelled ||= found.end.cancelled;
+        else unread = true;
+        if (--waiting > 0) return;
+        if (cancelled) then(true);
+        else if (unread) then(null);
+        else this.#anyCancelled(needed, visited, then);
+      });
+    }
+  }
+
+  /** What an answer about a job that this node has read rests on, without asking the state service. */
+  basis(uid: string): Basis {
+    const conditions: StateCondition[] = [];
+    const visited = new Set<string>();
+    const open = [uid];
+    for (let next = open.pop(); next !== undefined; next = open.pop()) {
+      if (visited.has(next)) continue;
+      visited.add(next);
+      const end = this.#finals.get(next);
+      const seen = this.#seen.get(next);
+      if (end?.cancelled || seen?.cancelled) return { t: "cancelled" };
+      if (end) continue;
+      if (!seen) return { t: "unread" };
+      conditions.push({ key: KEYS.job(next), version: seen.version });
+      open.push(...seen.awaits);
+    }
+    return { t: "versions", conditions };
+  }
+}
+
+export function viewOfEnd(uid: string, { cancelled, tasks }: KnownEnd): JobView {
+  return { uid, phase: cancelled ? "cancelled" : "done", done: cancelled ? 0 : tasks, running: 0 };
+}
+
+/** Drops the oldest entry of a map that has grown too large. */
+function trim(map: Map<string, unknown>, most: number): void {
+  if (map.size <= most) return;
+  const oldest = map.keys().next();
+  if (!oldest.done) map.delete(oldest.value);
+}
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -358,7 +358,7 @@
         if (answer.t === "ok") {
           this.#raising = false;
           this.#advance(reign, token, answer.revision);
-        } else if (answer.t === "refused") {
+        } else if (answer.t === "refused" || answer.t === "throttled") {
           this.#raising = false;
         } else {
           this.#reread(reign);
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -17,7 +17,7 @@
 
 /**
  * Shortest first and hopeless last let the largest jobs wait for ever under constant overload; with this each begins
- * within minutes. The wait counts from the recorded acceptance, so that it survives a change of leader.
+ * within minutes. The wait counts from what is on record, so that it survives a change of leader.
  */
 export function isAged(ctx: Context, job: Job): boolean {
   return waitedS(ctx, job) > AGED_S;
@@ -26,7 +26,7 @@
 /** How long nothing of a job has been on a machine. */
 function waitedS(ctx: Context, job: Job): number {
   if (job.held.size > 0) return 0;
-  return Math.min(ctx.wallMs - job.acceptedAt, ctx.now - job.lastHeldAt) / 1000;
+  return Math.min(ctx.wallMs - job.since, ctx.now - job.lastHeldAt) / 1000;
 }
 
 /**
@@ -51,7 +51,7 @@
   };
   // Alone on as many machines as it likes, a job takes at least one task's time.
   const taskS = ctx.estimates.of(spec);
-  if (spec.deadlineS !== null) consider(spec.deadlineS - taskS);
+  if (job.dueAt !== null) consider((job.dueAt - job.since) / 1000 - taskS);
   for (const { kind, jobClass, withinS } of ctx.deployment.objectives) {
     if (jobClass !== spec.jobClass || withinS === null) continue;
     if (kind === "finished") consider(withinS - taskS);
@@ -64,7 +64,7 @@
 
 /** True for a job that can still meet its next aim, but has used up a good part of its time. */
 export function isPressed(ctx: Context, job: Job): boolean {
-  const ageS = (ctx.wallMs - job.acceptedAt) / 1000;
+  const ageS = (ctx.wallMs - job.since) / 1000;
   const withinS = waitAimS(ctx, job);
   if (withinS !== null && ageS < withinS) return ageS > withinS * HURRY_PART;
   return pressure(ctx, job, ageS) === 0;
@@ -81,7 +81,7 @@
 }
 
 export function hasAim(ctx: Context, job: Job): boolean {
-  if (job.spec.deadlineS !== null) return true;
+  if (job.dueAt !== null) return true;
   return ctx.deployment.objectives.some((o) => o.kind === "finished" && o.jobClass === job.spec.jobClass);
 }
 
@@ -103,7 +103,7 @@
 export function isPatient(ctx: Context, job: Job): boolean {
   if (job.spec.shape !== "array") return false;
   const aimS = ctx.deployment.objectives.find((o) => o.kind === "guarantee")?.withinS ?? 0;
-  return (ctx.wallMs - job.acceptedAt) / 1000 < aimS * PATIENCE_PART;
+  return (ctx.wallMs - job.since) / 1000 < aimS * PATIENCE_PART;
 }
 
 /** Seconds of task time that are left, by the corrected estimate. */
@@ -119,8 +119,8 @@
 export function inOrder(ctx: Context, jobs: readonly Job[], guaranteed: ReadonlySet<Job>): Job[] {
   const wallNow = ctx.wallMs;
   const keyed = jobs.map((job) => {
-    const ageS = (wallNow - job.acceptedAt) / 1000;
-    const rank = job.spec.priority * 2 + (guaranteed.has(job) ? guaranteeBoost(ctx, ageS) : 0);
+    const ageS = (wallNow - job.since) / 1000;
+    const rank = job.priority * 2 + (guaranteed.has(job) ? guaranteeBoost(ctx, ageS) : 0);
     if (isAged(ctx, job))
       return { job, rank: Math.max(rank, AGED_RANK), late: isTooLate(ctx, job) ? 1 : 0, left: 0 };
     return {
@@ -135,7 +135,7 @@
       b.rank - a.rank ||
       a.late - b.late ||
       a.left - b.left ||
-      a.job.acceptedAt - b.job.acceptedAt ||
+      a.job.since - b.job.since ||
       a.job.ix - b.job.ix,
   );
   return keyed.map(({ job }) => job);
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -38,11 +38,11 @@
   /** May this placement be stopped so that the job can run? */
   #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
     const spec = victim.job.spec;
-    if (job.spec.priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
-    if (spec.priority < job.spec.priority) return true;
+    if (job.priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
+    if (victim.job.priority < job.priority) return true;
     // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
-    if (!guaranteed || spec.team === job.spec.team || spec.priority > job.spec.priority) return false;
-    if (spec.priority === 3) return false;
+    if (!guaranteed || spec.team === job.spec.team || victim.job.priority > job.priority) return false;
+    if (victim.job.priority === 3) return false;
     // What is within its own team's guarantee has borrowed nothing: two teams took turns stopping each other's gangs,
     // some of them twenty times.
     if (this.guaranteed.has(victim.job)) return false;
@@ -79,7 +79,7 @@
     job.roomSoughtAt = now;
     const { need, tasks, oneZone, spread, shape } = job.spec;
     const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
-    for (const machine of this.#candidates(job, guaranteed ? job.spec.priority + 1 : job.spec.priority)) {
+    for (const machine of this.#candidates(job, guaranteed ? job.priority + 1 : job.priority)) {
       if (!suits(machine)) continue;
       const plan = this.#plan(job, machine, need, guaranteed);
       if (plan) plans.push({ machine, ...plan });
@@ -139,7 +139,7 @@
     const list = [...machine.placements]
       .filter((p) => p.job !== job && this.#mayStop(p, job, guaranteed))
       .map((p) => ({ p, cost: this.#lossOf(p) }))
-      .sort((a, b) => a.p.job.spec.priority - b.p.job.spec.priority || a.cost - b.cost);
+      .sort((a, b) => a.p.job.priority - b.p.job.priority || a.cost - b.cost);
     let { cpu, gpu, ram } = room;
     for (const { p, cost: loss } of list) {
       // Stopping a task that frees nothing that is short helps nobody.
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,16 +1,17 @@
 import type { Context } from "./context.js";
 import type { Reigning } from "./leadership.js";
+import { type Bucket, MachineRecords } from "./machine-records.js";
 import {
-  BUCKET_MACHINES,
-  type BucketRecord,
-  CHUNK_TASKS,
   type ChunkRecord,
+  chunkTasks,
+  type FinalRecord,
   KEYS,
   type MoveRecord,
   NO_MOVE,
+  type TaskRange,
   toRanges,
 } from "./records.js";
-import type { Job, Machine, Placement, Tables } from "./tables.js";
+import type { Job, Placement, Tables } from "./tables.js";
 import type { StateChange, StateCondition } from "./types.js";
 
 const CALL_MS = 1500;
@@ -22,12 +23,18 @@
 /** What part of a transaction is kept for jobs that are over: users wait to be told. */
 const FINALS_PART = 3;
 const TXN_BYTES = 48 * 1024;
+/** With fewer changes than this in one transaction, jobs that are over would wait for ever behind starts. */
+const LEAST_ROOM = 6;
 /** The leader's part of the write limit; the rest is left to submissions and cancellations. */
 const SHARE = 0.8;
 
+/** What a record that the state service takes in no form waits before it is tried again, by itself. */
+const SET_ASIDE_MS = 10_000;
+
 interface DirtyChunk {
   readonly job: Job;
-  readonly chunk: number;
+  readonly key: string;
+  readonly range: TaskRange;
   since: number;
   urgent: boolean;
 }
@@ -39,13 +46,10 @@
   jobChanged(job: Job): void;
   finished(job: Job): void;
   deposed(why: string): void;
-}
-
-interface Bucket {
-  readonly index: number;
-  readonly machines: Set<Machine>;
-  version: number;
-  dirty: boolean;
+  /** The state service takes no records of this size: its limits have fallen. */
+  tooLarge(): void;
+  /** The layout in which placements are recorded (see `chunkTasks`). */
+  layout(): number;
 }
 
 interface Batch {
@@ -60,6 +64,10 @@
   bytes: number;
 }
 
+function itemsOf(batch: Batch): number {
+  return batch.chunks.length + batch.finals.length + batch.removed.length + (batch.move ? 1 : 0);
+}
+
 /**
  * Writes the leader's records, one transaction at a time, each conditioned on the leadership and on
  * the versions last seen. An unanswered transaction is simply tried again with the same conditions: if the first
@@ -72,10 +80,16 @@
   readonly #events: RecorderEvents;
   readonly #chunks = new Map<string, DirtyChunk>();
   /** Those in the transaction under way: not on record until it is answered. */
-  #writing: ReadonlySet<string> = new Set();
+  #writing: readonly DirtyChunk[] = [];
+  /** The size of a chunk, as of the last touch. */
+  #chunkTasks: number;
+  /** So many records are written one by one, after a transaction that was refused for what is in it. */
+  #oneByOne = 0;
+  /** Keys of records that can't be written, and until when they are left out. */
+  readonly #setAside = new Map<string, number>();
   readonly #finals = new Set<Job>();
   readonly #gone = new Set<string>();
-  readonly #buckets: Bucket[] = [];
+  readonly machines: MachineRecords;
   #move: { value: MoveRecord | null; then: () => void } | null = null;
   #moveVersion: number;
   #busy = false;
@@ -90,70 +104,62 @@
     this.#reign = reign;
     this.#tables = tables;
     this.#events = events;
-    this.#allowance = ctx.deployment.stateWriteRps * SHARE;
+    this.machines = new MachineRecords(tables, () => ctx.limits.valueBytes);
+    this.#chunkTasks = this.#wantedChunkTasks;
+    this.#allowance = ctx.limits.writeRps(ctx.now) * SHARE;
     this.#allowanceAt = ctx.now;
   }
 
+  get #wantedChunkTasks(): number {
+    return chunkTasks(this.#events.layout(), this.#ctx.limits.valueBytes);
+  }
+
   get backlog(): number {
     return this.#chunks.size + this.#finals.size;
   }
 
   touch(job: Job, task: number, urgent: boolean): void {
-    const chunk = Math.floor(task / CHUNK_TASKS);
-    const key = KEYS.chunk(job.uid, chunk);
+    this.#touchChunk(job, task, urgent, this.#ctx.now);
+  }
+
+  #touchChunk(job: Job, task: number, urgent: boolean, since: number): void {
+    const count = this.#chunkTasks;
+    const range = { first: task - (task % count), count };
+    const key = KEYS.chunk(job.uid, range);
     const dirty = this.#chunks.get(key);
     if (dirty) dirty.urgent ||= urgent;
-    else this.#chunks.set(key, { job, chunk, since: this.#ctx.now, urgent });
+    else this.#chunks.set(key, { job, key, range, since, urgent });
   }
 
   /** True while something about this task is not yet on record. */
   isDirty(job: Job, task: number): boolean {
-    const key = KEYS.chunk(job.uid, Math.floor(task / CHUNK_TASKS));
-    return this.#chunks.has(key) || this.#writing.has(key);
+    const count = this.#chunkTasks;
+    const key = KEYS.chunk(job.uid, { first: task - (task % count), count });
+    if (this.#chunks.has(key)) return true;
+    return this.#writing.some(
+      ({ job: other, range }) => other === job && task >= range.first && task < range.first + range.count,
+    );
   }
 
-  finish(job: Job): void {
-    this.#finals.add(job);
-  }
-
-  machineGone(machine: Machine): void {
-    const bucket = machine.bucket === null ? undefined : this.#buckets[machine.bucket];
-    if (bucket?.machines.delete(machine)) bucket.dirty = true;
+  /** From the opening of layout 2 on, what is yet to be written goes into chunks of its size. */
+  #followLayout(): void {
+    const wanted = this.#wantedChunkTasks;
+    if (wanted === this.#chunkTasks) return;
+    this.#chunkTasks = wanted;
+    const old = [...this.#chunks.values()];
+    this.#chunks.clear();
+    for (const dirty of old) this.#rechunk(dirty);
   }
 
-  /** Takes over a record of machines that an earlier leader wrote. */
-  inheritBucket(index: number, machines: readonly Machine[], version: number): void {
-    for (let i = this.#buckets.length; i <= index; i++) this.#bucket(i);
-    const bucket = this.#bucket(index);
-    bucket.version = version;
-    for (const machine of machines) {
-      bucket.machines.add(machine);
-      machine.bucket = index;
-    }
-  }
-
-  #bucket(index: number): Bucket {
-    this.#buckets[index] ??= { index, machines: new Set(), version: 0, dirty: false };
-    return this.#buckets[index];
+  /** Marks all that a chunk of another size covered, in chunks of the present one. */
+  #rechunk({ job, range, since, urgent }: DirtyChunk): void {
+    const end = Math.min(job.spec.tasks, range.first + range.count);
+    for (let task = range.first; task < end; task += this.#chunkTasks - (task % this.#chunkTasks))
+      this.#touchChunk(job, task, urgent, since);
   }
 
-  /** The record that a machine's first placement is written with; its neighbours of the same start ride along. */
-  #bucketFor(machine: Machine): Bucket {
-    const known = machine.bucket === null ? undefined : this.#buckets[machine.bucket];
-    if (known) return known;
-    const open = this.#buckets.find((bucket) => bucket.machines.size < BUCKET_MACHINES);
-    const bucket = open ?? this.#bucket(this.#buckets.length);
-    const add = (other: Machine) => {
-      bucket.machines.add(other);
-      other.bucket = bucket.index;
-    };
-    add(machine);
-    for (const other of this.#tables.machines.values()) {
-      if (bucket.machines.size >= BUCKET_MACHINES) break;
-      if (other.bucket === null && other.phase === "up" && other.address !== "") add(other);
-    }
-    bucket.dirty = true;
-    return bucket;
+  finish(job: Job): void {
+    this.#finals.add(job);
   }
 
   /** Removes what an earlier leader left behind. */
@@ -168,31 +174,39 @@
   flush(): void {
     const ctx = this.#ctx;
     if (this.over || this.#busy || ctx.now < this.#retryAt || ctx.now >= this.#reign.confirmedUntil) return;
-    const rate = ctx.deployment.stateWriteRps * SHARE;
+    this.#followLayout();
+    const rate = ctx.limits.writeRps(ctx.now) * SHARE;
     this.#allowance = Math.min(rate, this.#allowance + ((ctx.now - this.#allowanceAt) * rate) / 1000);
     this.#allowanceAt = ctx.now;
-    const room = Math.min(ctx.deployment.txnOps, Math.floor(this.#allowance));
+    const room = Math.min(ctx.limits.txnOps, Math.floor(this.#allowance));
+    // Short of writes, transactions wait until there are enough for all that has to share them.
+    if (room < Math.min(LEAST_ROOM, ctx.limits.txnOps, this.backlog)) return;
     if (room < 1) return;
     const batch = this.#build(room);
     if (batch.changes.length === 0) return;
     this.#allowance -= batch.changes.length;
     this.#busy = true;
-    const { conditions, changes, chunks } = batch;
-    this.#writing = new Set(chunks.map(({ job, chunk }) => KEYS.chunk(job.uid, chunk)));
+    const { conditions, changes } = batch;
+    this.#writing = batch.chunks;
     const askedAt = ctx.now;
     ctx.state({ t: "txn", conditions, changes }, CALL_MS, (answer) => {
       if (this.over) return;
       if (answer.t !== "ok") this.#putBack(batch);
-      this.#writing = new Set();
+      this.#writing = [];
       switch (answer.t) {
         case "ok":
           this.#busy = false;
+          if (this.#oneByOne > 0) this.#oneByOne--;
           this.#succeeded(batch, answer.revision, askedAt);
           this.flush();
           break;
         case "conflict":
           this.#conflicted(batch, answer.failed);
           break;
+        case "invalid":
+          this.#busy = false;
+          this.#refused(batch, answer.why);
+          break;
         default:
           this.#busy = false;
           this.#retryAt = ctx.now + RETRY_MS;
@@ -226,44 +240,62 @@
     const urgent: DirtyChunk[] = [];
     const lazy: DirtyChunk[] = [];
     for (const dirty of this.#chunks.values()) {
+      if (this.#isSetAside(dirty.key)) continue;
       if (dirty.urgent || now - dirty.since >= LAZY_MAX_MS) urgent.push(dirty);
       else if (now - dirty.since >= LAZY_MS) lazy.push(dirty);
     }
-    urgent.sort((a, b) => b.job.spec.priority - a.job.spec.priority || a.since - b.since);
+    urgent.sort((a, b) => b.job.priority - a.job.priority || a.since - b.since);
     const jobs = new Set<Job>();
     const forFinals = Math.min(this.#finals.size * 2, Math.ceil(room / FINALS_PART));
     for (const dirty of urgent) {
-      if (batch.bytes > TXN_BYTES || !this.#addChunk(batch, dirty, room - forFinals, jobs)) break;
+      if (this.#isFull(batch) || !this.#addChunk(batch, dirty, room - forFinals, jobs)) break;
     }
-    for (const job of this.#finals) {
-      if (batch.changes.length + 2 > room || batch.bytes > TXN_BYTES) break;
-      if (jobs.has(job)) continue;
-      this.#addFinal(batch, job);
+    for (const job of this.#finalsInOrder()) {
+      if (batch.changes.length + 2 > room || this.#isFull(batch)) break;
+      if (!jobs.has(job)) this.#addFinal(batch, job);
     }
     for (const dirty of lazy) {
-      if (batch.bytes > TXN_BYTES || !this.#chunks.has(KEYS.chunk(dirty.job.uid, dirty.chunk))) continue;
-      if (!this.#addChunk(batch, dirty, room, jobs)) break;
+      if (this.#isFull(batch)) break;
+      if (this.#chunks.has(dirty.key) && !this.#addChunk(batch, dirty, room, jobs)) break;
     }
     for (const key of this.#gone) {
-      if (batch.changes.length >= room) break;
+      if (batch.changes.length >= room || this.#isFull(batch)) break;
       batch.changes.push({ remove: key });
       batch.removed.push(key);
       this.#gone.delete(key);
     }
-    if (batch.changes.length > 0) {
-      // Machines that are gone are struck off when there is something else to write.
-      for (const bucket of this.#buckets) {
-        if (batch.changes.length >= room || batch.bytes > TXN_BYTES) break;
-        if (bucket.dirty && !batch.buckets.includes(bucket)) this.#addBucket(batch, bucket);
+    // Machines that are gone are struck off when there is something else to write.
+    if (batch.changes.length > 0 && this.#oneByOne === 0) {
+      for (const bucket of this.machines.changed()) {
+        if (batch.changes.length >= room || this.#isFull(batch)) break;
+        if (!batch.buckets.includes(bucket)) this.#addBucket(batch, bucket);
       }
     }
     return batch;
   }
 
+  #isFull(batch: Batch): boolean {
+    return batch.bytes > TXN_BYTES || (this.#oneByOne > 0 && itemsOf(batch) > 0);
+  }
+
+  #isSetAside(key: string): boolean {
+    const until = this.#setAside.get(key);
+    if (until === undefined) return false;
+    if (this.#ctx.now < until) return true;
+    this.#setAside.delete(key);
+    return false;
+  }
+
+  /** Jobs that others wait for come first: the next of a pipeline starts once this one is on record as done. */
+  #finalsInOrder(): Job[] {
+    const finals = [...this.#finals].filter((job) => !this.#isSetAside(KEYS.job(job.uid)));
+    return finals.sort((a, b) => Number(b.dependents > 0) - Number(a.dependents > 0));
+  }
+
   #addChunk(batch: Batch, dirty: DirtyChunk, room: number, jobs: Set<Job>): boolean {
-    const { job, chunk } = dirty;
-    const first = chunk * CHUNK_TASKS;
-    const last = Math.min(job.spec.tasks, first + CHUNK_TASKS) - 1;
+    const { job, key, range } = dirty;
+    const { first } = range;
+    const last = Math.min(job.spec.tasks, first + range.count) - 1;
     const held: [number, string, number, number][] = [];
     const placements: Placement[] = [];
     const buckets = new Set<Bucket>();
@@ -272,23 +304,25 @@
       if (!placement) continue;
       placements.push(placement);
       held.push([task, placement.machine.name, placement.session, placement.attempt]);
-      const bucket = this.#bucketFor(placement.machine);
-      if (bucket.dirty && !batch.buckets.includes(bucket)) buckets.add(bucket);
+      for (const bucket of this.machines.toWrite(placement.machine))
+        if (!batch.buckets.includes(bucket)) buckets.add(bucket);
     }
-    if (batch.changes.length + 1 + buckets.size > room) return false;
-    const key = KEYS.chunk(job.uid, chunk);
+    // Where they don't all fit beside it, the machines are on record first.
+    for (const bucket of buckets) if (batch.changes.length < room) this.#addBucket(batch, bucket);
+    if (batch.changes.length + 1 > room) return false;
     this.#chunks.delete(key);
     const done: number[] = [];
     for (let task = first; task <= last; task++) if (job.isDone(task)) done.push(task);
+    // What another size of chunk has left empty needs no record.
+    if (held.length === 0 && done.length === 0 && job.chunkVersions.size === 0) return true;
     const value: ChunkRecord = { held, done: toRanges(done) };
-    for (const bucket of buckets) this.#addBucket(batch, bucket);
     const starts = placements.some((placement) => !placement.durable);
     // A start depends on the job not having been cancelled since.
     if (starts && !jobs.has(job)) {
       jobs.add(job);
       batch.conditions.push({ key: KEYS.job(job.uid), version: job.version });
     }
-    batch.conditions.push({ key, version: job.chunkVersions.get(chunk) ?? 0 });
+    batch.conditions.push({ key, version: job.chunkVersions.get(key) ?? 0 });
     batch.changes.push({ put: key, value });
     batch.chunks.push(dirty);
     batch.placements.push(...placements);
@@ -298,9 +332,7 @@
 
   #addBucket(batch: Batch, bucket: Bucket): void {
     const key = KEYS.bucket(bucket.index);
-    const value: BucketRecord = {
-      machines: [...bucket.machines].map((m) => [m.name, m.address, m.typeName, m.zone, m.spot]),
-    };
+    const value = this.machines.value(bucket);
     batch.conditions.push({ key, version: bucket.version });
     batch.changes.push({ put: key, value });
     batch.buckets.push(bucket);
@@ -315,15 +347,16 @@
     batch.conditions.push({ key: KEYS.job(job.uid), version: job.version });
     batch.changes.push({ remove: KEYS.job(job.uid) });
     const state = job.state === "cancelled" ? "cancelled" : "done";
-    batch.changes.push({ put: KEYS.final(job.uid), value: { state, tasks: job.spec.tasks } });
-    for (const dirty of this.#chunks.values()) {
-      if (dirty.job === job) this.#chunks.delete(KEYS.chunk(job.uid, dirty.chunk));
-    }
+    job.endedAt = Math.round(this.#ctx.wallMs);
+    const value: FinalRecord = { state, tasks: job.spec.tasks, at: job.endedAt };
+    if (job.spec.shape === "service") value.service = true;
+    batch.changes.push({ put: KEYS.final(job.uid), value });
+    for (const dirty of this.#chunks.values()) if (dirty.job === job) this.#chunks.delete(dirty.key);
     batch.bytes += 200;
   }
 
   #succeeded(batch: Batch, revision: number, askedAt: number): void {
-    for (const { job, chunk } of batch.chunks) job.chunkVersions.set(chunk, revision);
+    for (const { job, key } of batch.chunks) job.chunkVersions.set(key, revision);
     for (const bucket of batch.buckets) bucket.version = revision;
     for (const placement of batch.placements) {
       // Only a start makes the transaction depend on the job's key.
@@ -334,17 +367,18 @@
     batch.move?.then();
     if (batch.placements.length > 0) this.#events.recorded(batch.placements);
     for (const job of batch.finals) {
-      for (const chunk of job.chunkVersions.keys()) this.#gone.add(KEYS.chunk(job.uid, chunk));
+      for (const key of job.chunkVersions.keys()) this.#gone.add(key);
       this.#events.finished(job);
     }
   }
 
   #putBack(batch: Batch): void {
     for (const dirty of batch.chunks) {
-      const key = KEYS.chunk(dirty.job.uid, dirty.chunk);
-      const newer = this.#chunks.get(key);
-      if (newer) newer.urgent ||= dirty.urgent;
-      else if (this.#tables.jobs.has(dirty.job.ix)) this.#chunks.set(key, dirty);
+      const newer = this.#chunks.get(dirty.key);
+      if (!this.#tables.jobs.has(dirty.job.ix)) continue;
+      if (dirty.range.count !== this.#chunkTasks) this.#rechunk(dirty);
+      else if (newer) newer.urgent ||= dirty.urgent;
+      else this.#chunks.set(dirty.key, dirty);
     }
     for (const job of batch.finals) this.#finals.add(job);
     for (const key of batch.removed) this.#gone.add(key);
@@ -352,6 +386,22 @@
     if (batch.move && !this.#move) this.#move = batch.move;
   }
 
+  /**
+   * Refused for what is in it: never repeated as it is. The records are written one by one, in the layout of the limits
+   * to come; one that is refused by itself is left out for a while, so that it holds up no other.
+   */
+  #refused(batch: Batch, why: string): void {
+    this.#events.tooLarge();
+    const items = itemsOf(batch);
+    this.#oneByOne = Math.max(this.#oneByOne, items);
+    this.#retryAt = this.#ctx.now + RETRY_MS;
+    if (items > 1) return;
+    const keys = [...batch.chunks.map(({ key }) => key), ...batch.finals.map(({ uid }) => KEYS.job(uid))];
+    for (const key of keys) this.#setAside.set(key, this.#ctx.now + SET_ASIDE_MS);
+    if (batch.move && this.#move === batch.move) this.#move = null;
+    this.#ctx.log("error", "a record can't be written", { keys, why });
+  }
+
   #conflicted(batch: Batch, failed: readonly string[]): void {
     if (failed.includes(KEYS.leader)) {
       this.#events.deposed("a transaction failed on the leader key");
@@ -359,9 +409,8 @@
     }
     // Chunks may differ because an earlier, unanswered write of ours was executed: take the new version.
     const stale: { key: string; take: (version: number) => void }[] = [];
-    for (const { job, chunk } of batch.chunks) {
-      const key = KEYS.chunk(job.uid, chunk);
-      if (failed.includes(key)) stale.push({ key, take: (version) => job.chunkVersions.set(chunk, version) });
+    for (const { job, key } of batch.chunks) {
+      if (failed.includes(key)) stale.push({ key, take: (version) => job.chunkVersions.set(key, version) });
     }
     for (const bucket of batch.buckets) {
       const key = KEYS.bucket(bucket.index);
@@ -385,9 +434,7 @@
     };
     for (const job of jobs) {
       this.#finals.delete(job);
-      for (const { job: other, chunk } of batch.chunks) {
-        if (other === job) this.#chunks.delete(KEYS.chunk(job.uid, chunk));
-      }
+      for (const dirty of batch.chunks) if (dirty.job === job) this.#chunks.delete(dirty.key);
       this.#events.jobChanged(job);
     }
     if (waiting === 0) {
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -1,4 +1,5 @@
 import * as v from "valibot";
+import { bytesOf } from "./limits.js";
 import type { JobSpec, MachineType } from "./types.js";
 
 /**
@@ -6,6 +7,8 @@
  *   c/…  leader, epoch, operators' settings, machine types, the pending move: followed by every node
  *   j/…  jobs that are not over, f/… jobs that are, p/… placements in chunks, m/… machines, many to a key:
  *   one by one they took a fleet's worth of writes before anything could start
+ * Records are read by the version before this one during an upgrade, and its records by this one: fields are only ever
+ * added, as optional ones, and none is given another meaning (docs/DESIGN.md, "Two versions at once").
  */
 export const KEYS = {
   config: "c/",
@@ -15,16 +18,52 @@
   types: "c/types",
   move: "c/move",
   modes: "c/modes",
+  features: "c/features",
   job: (uid: string) => `j/${uid}`,
   final: (uid: string) => `f/${uid}`,
-  chunk: (uid: string, chunk: number) => `p/${uid}/${chunk}`,
+  /** The placements of a range of a job's tasks, in the layout of its size. */
+  chunk: (uid: string, { first, count }: TaskRange) =>
+    count === CHUNK_TASKS ? `p/${uid}/${first / count}` : `p/${uid}/${first}.${count}`,
+  chunks: "p/",
   machines: "m/",
   bucket: (bucket: number) => `m/${bucket}`,
 } as const;
 
-/** So many tasks and machines fit the smallest values allowed (8 KiB) with names of ordinary length. */
+/** What a task or a machine takes of a record, with names of ordinary length. */
+const BYTES_PER_TASK = 64;
+const BYTES_PER_MACHINE = 85;
+/** The size of a chunk in layout 1, and the largest in layout 2. */
 export const CHUNK_TASKS = 128;
-export const BUCKET_MACHINES = 48;
+const BUCKET_MACHINES = 48;
+
+/** The protocol that this version speaks: 2 knows jobs that wait for others, and chunks of any size. */
+export const PROTOCOL = 2;
+
+/** Consecutive tasks of a job, whose placements share a record. */
+export interface TaskRange {
+  readonly first: number;
+  readonly count: number;
+}
+
+/** How many tasks a chunk covers: in layout 1 always the same; from layout 2 on so many that it fits the value limit. */
+export function chunkTasks(layout: number, valueBytes: number): number {
+  if (layout < PROTOCOL) return CHUNK_TASKS;
+  return Math.max(1, Math.min(CHUNK_TASKS, Math.floor(valueBytes / BYTES_PER_TASK)));
+}
+
+export function bucketMachines(valueBytes: number): number {
+  return Math.max(1, Math.min(BUCKET_MACHINES, Math.floor(valueBytes / BYTES_PER_MACHINE)));
+}
+
+/** The job and the tasks that a chunk's key names. */
+export function readChunkKey(key: string): { uid: string; range: TaskRange } | null {
+  const found = /^p\/([^/]+)\/(\d+)(?:\.(\d+))?$/.exec(key);
+  if (!found) return null;
+  const [, uid = "", index = "", size] = found;
+  if (size === undefined) return { uid, range: { first: Number(index) * CHUNK_TASKS, count: CHUNK_TASKS } };
+  const range = { first: Number(index), count: Number(size) };
+  return range.count > 0 ? { uid, range } : null;
+}
 
 const amount = v.object({ cpu: v.number(), gpu: v.number(), ram: v.number() });
 const spec = v.object({
@@ -46,10 +85,23 @@
   checkpointS: v.number(),
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
+  awaits: v.optional(v.array(v.string())),
 });
 
-const jobRecord = v.object({ state: v.picklist(["active", "cancelled"]), acceptedAt: v.number(), spec });
-const finalRecord = v.object({ state: v.picklist(["done", "cancelled"]), tasks: v.number() });
+/** "awaiting": active, and naming jobs that have to be done first. Versions that don't know these can't read it, nor start it. */
+const jobRecord = v.object({
+  state: v.picklist(["active", "awaiting", "cancelled"]),
+  acceptedAt: v.number(),
+  spec,
+});
+const finalRecord = v.object({
+  state: v.picklist(["done", "cancelled"]),
+  tasks: v.number(),
+  /** Wall time of the end, in milliseconds. */
+  at: v.optional(v.number()),
+  service: v.optional(v.boolean()),
+});
+const featuresRecord = v.object({ layout: v.number() });
 const chunkRecord = v.object({
   /** task, machine, session, attempt */
   held: v.array(v.tuple([v.number(), v.string(), v.number(), v.number()])),
@@ -83,7 +135,9 @@
 /** What the move's key holds while none is pending. */
 export const NO_MOVE = {};
 
-export type JobRecord = { state: "active" | "cancelled"; acceptedAt: number; spec: JobSpec };
+export type JobRecord = { state: "active" | "awaiting" | "cancelled"; acceptedAt: number; spec: JobSpec };
+export type FinalRecord = v.InferOutput<typeof finalRecord>;
+export type FeaturesRecord = v.InferOutput<typeof featuresRecord>;
 export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
 export type BucketRecord = v.InferOutput<typeof bucketRecord>;
 export type LeaderRecord = v.InferOutput<typeof leaderRecord>;
@@ -104,8 +158,29 @@
 export const readEpoch = reader(epochRecord);
 export const readMove = reader(moveRecord);
 export const readModes = reader(modesRecord);
+export const readFeatures = reader(featuresRecord);
 export const readTypes: (value: unknown) => MachineType[] | null = reader(v.array(machineType));
 
+export function newJobRecord(spec: JobSpec, acceptedAt: number): JobRecord {
+  return { state: spec.awaits ? "awaiting" : "active", acceptedAt, spec };
+}
+
+/**
+ * The record of a cancelled job. One that was stored under a larger limit loses what says where it may run: nothing of
+ * it starts any more.
+ */
+export function cancelledRecord({ acceptedAt, spec }: JobRecord, valueBytes: number): JobRecord {
+  const whole: JobRecord = { state: "cancelled", acceptedAt, spec };
+  if (bytesOf(whole) <= valueBytes) return whole;
+  const { awaits: _, ...rest } = spec;
+  return { ...whole, spec: { ...rest, types: null, zone: null, image: "", jobClass: "" } };
+}
+
+/** True if a job's record fits, also once it is cancelled. */
+export function fitsRecord(spec: JobSpec, acceptedAt: number, valueBytes: number): boolean {
+  return bytesOf({ state: "cancelled", acceptedAt, spec } satisfies JobRecord) <= valueBytes;
+}
+
 /** Turns task numbers, ascending, into ranges [first, last]. */
 export function toRanges(tasks: Iterable<number>): [number, number][] {
   const ranges: [number, number][] = [];
--- a/src/core/reign.ts
+++ b/src/core/reign.ts
@@ -1,11 +1,15 @@
 import type { Budget, Context } from "./context.js";
+import type { FeatureGate } from "./feature-gate.js";
 import { Fleet } from "./fleet.js";
 import { Hirer } from "./hirer.js";
 import type { Leadership, Reigning } from "./leadership.js";
+import { bytesOf } from "./limits.js";
 import { Mover } from "./mover.js";
+import { Pipelines } from "./pipelines.js";
 import { Recorder } from "./recorder.js";
-import { KEYS, readBucket, readChunk, readFinal, readJob } from "./records.js";
+import { KEYS, readBucket, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
+import { readChunks, type StoredChunk } from "./stored-chunks.js";
 import { type Job, type Machine, type Placement, Tables } from "./tables.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
 import type { ConfigView } from "./view.js";
@@ -33,6 +37,7 @@
   readonly scheduler: Scheduler;
   readonly hirer: Hirer;
   readonly mover: Mover;
+  readonly pipelines: Pipelines;
   over = false;
   /** Every change of a job's key before this time has been applied here; null before the records are read. */
   knownThrough: number | null = null;
@@ -49,7 +54,7 @@
   #told = new Map<string, string>();
   #writingTypes = false;
 
-  constructor(ctx: Context, view: ConfigView, leadership: Leadership, reigning: Reigning) {
+  constructor(ctx: Context, view: ConfigView, leadership: Leadership, reigning: Reigning, gate: FeatureGate) {
     this.#ctx = ctx;
     this.#view = view;
     this.#leadership = leadership;
@@ -61,6 +66,12 @@
       jobChanged: (job) => this.#reread(job),
       finished: (job) => this.#finished(job),
       deposed: (why) => leadership.stepDown(why),
+      tooLarge: () => gate.open("a record was too large"),
+      layout: () => view.layout,
+    });
+    this.pipelines = new Pipelines(ctx, this.tables, {
+      released: (job) => this.#released(job),
+      cancelled: (job) => this.#cancelled(job),
     });
     this.fleet = new Fleet(ctx, leadership, reigning, this.tables, this.recorder, {
       gone: (placement, cause) => this.#gone(placement, cause),
@@ -140,51 +151,10 @@
         if (machine.phase === "booting") machine.phase = "up";
         listed.push(machine);
       }
-      this.recorder.inheritBucket(bucket, listed, item.version);
+      this.recorder.machines.inherit(bucket, listed, item.version);
     }
     for (const item of jobs) this.learnJob(item);
-    let held = 0;
-    for (const item of chunks) {
-      const [, uid = "", chunk = ""] = item.key.split("/");
-      const job = this.tables.jobByUid(uid);
-      const record = readChunk(item.value);
-      if (job && !record) {
-        // What can't be read may be running: it is kept, and nothing of the job is started.
-        job.unreadable = true;
-        this.#ctx.log("error", "a record can't be read", { key: item.key });
-        continue;
-      }
-      if (!job || !record) {
-        // The job's final state was written while none of its tasks was left.
-        this.recorder.discard(item.key);
-        continue;
-      }
-      job.chunkVersions.set(Number(chunk), item.version);
-      for (const [first, last] of record.done)
-        for (let task = first; task <= last; task++) job.markDone(task);
-      for (const [task, name, session, attempt] of record.held) {
-        if (job.isDone(task) && job.spec.shape !== "gang") continue;
-        const at = { address: "", type: "", zone: "", spot: false };
-        const machine = this.tables.machine(name, at, now);
-        if (machine.phase === "booting") machine.phase = "up";
-        this.tables.place({
-          job,
-          task,
-          machine,
-          session,
-          attempt,
-          durable: true,
-          allowedAt: Number.NEGATIVE_INFINITY,
-          placedAt: now,
-          seen: null,
-          sentToken: 0,
-          sentAt: Number.NEGATIVE_INFINITY,
-          runningSince: null,
-          stop: null,
-        });
-        held++;
-      }
-    }
+    const held = this.#rebuildPlacements(chunks);
     // When work that has begun last ran is not on record: its wait counts anew, else a new leader takes all that is
     // waiting for its next tasks for aged.
     for (const job of this.tables.jobs.values()) if (job.doneCount > 0) job.lastHeldAt = now;
@@ -214,6 +184,62 @@
     });
   }
 
+  /** Puts what is on record as placed into the tables; returns how much that is. */
+  #rebuildPlacements(chunks: readonly StateItem[]): number {
+    const { found, unreadable } = readChunks(chunks);
+    for (const { key, uid } of unreadable) {
+      this.#ctx.log("error", "a record can't be read", { key });
+      const job = this.tables.jobByUid(uid);
+      // What can't be read may be running: it is kept, and nothing of the job is started.
+      if (job) job.unreadable = true;
+    }
+    let held = 0;
+    for (const [uid, records] of found) {
+      const job = this.tables.jobByUid(uid);
+      // The job's final state was written while none of its tasks was left.
+      if (!job) for (const { key } of records) this.recorder.discard(key);
+      else held += this.#restore(job, records);
+    }
+    return held;
+  }
+
+  #restore(job: Job, records: readonly StoredChunk[]): number {
+    let held = 0;
+    for (const { key, version, done, placed } of records) {
+      job.chunkVersions.set(key, version);
+      for (const task of done) job.markDone(task);
+      for (const { task, machine: name, session, attempt } of placed) {
+        if (job.isDone(task) && job.spec.shape !== "gang") continue;
+        this.#restorePlacement(job, task, name, session, attempt);
+        held++;
+      }
+    }
+    if (held > 0 || job.doneCount > 0) this.pipelines.begun(job);
+    return held;
+  }
+
+  #restorePlacement(job: Job, task: number, name: string, session: number, attempt: number): void {
+    const { now } = this.#ctx;
+    const machine = this.tables.machine(name, { address: "", type: "", zone: "", spot: false }, now);
+    if (machine.phase === "booting") machine.phase = "up";
+    this.tables.place({
+      job,
+      task,
+      machine,
+      session,
+      attempt,
+      priority: job.priority,
+      durable: true,
+      allowedAt: Number.NEGATIVE_INFINITY,
+      placedAt: now,
+      seen: null,
+      sentToken: 0,
+      sentAt: Number.NEGATIVE_INFINITY,
+      runningSince: null,
+      stop: null,
+    });
+  }
+
   /* ---- jobs ---- */
 
   /** Takes in a job's key, from the first read, from following, or straight from the node that wrote it. */
@@ -231,15 +257,20 @@
       if (record.state === "cancelled") this.#cancelled(known);
       return;
     }
-    if (this.#finals.has(uid)) return;
+    // News of jobs that have ended in this term may still be on its way.
+    if (this.pipelines.isOver(uid)) return;
     const job = this.tables.addJob(record.spec, record.acceptedAt, item.version);
     if (record.state === "cancelled") job.state = "cancelled";
+    this.pipelines.add(job);
+    if (job.state === "cancelled") this.pipelines.cancelled(job);
     if (this.fleet.loaded) this.#finishIfOver(job);
     this.#dirty = true;
   }
 
-  /** Jobs finished in this reign, lately: news of them may still be on its way. */
-  readonly #finals = new Set<string>();
+  #released(job: Job): void {
+    this.#dirty = true;
+    this.#ctx.log("debug", "job released", { job: job.uid });
+  }
 
   #cancelled(job: Job): void {
     if (job.state !== "active") return;
@@ -247,6 +278,7 @@
     job.finishing = false;
     this.#stopAll(job);
     this.#finishIfOver(job);
+    this.pipelines.cancelled(job);
     this.#dirty = true;
   }
 
@@ -265,11 +297,10 @@
 
   #finished(job: Job): void {
     if (job.state === "active") job.state = "done";
-    this.#finals.add(job.uid);
-    if (this.#finals.size > 5000)
-      for (const uid of [...this.#finals].slice(0, 1000)) this.#finals.delete(uid);
     this.tables.jobs.delete(job.ix);
     this.#told.delete(job.uid);
+    const state = job.state === "cancelled" ? "cancelled" : "done";
+    this.pipelines.ended(job, job.endedAt === null ? { state } : { state, at: job.endedAt });
   }
 
   #reread(job: Job): void {
@@ -290,8 +321,9 @@
         this.#ctx.state({ t: "get", key: KEYS.final(job.uid) }, LIST_MS, (final) => {
           if (this.over || !this.tables.jobs.has(job.ix)) return;
           if (final.t === "item") {
-            const state = readFinal(final.item.value)?.state ?? "done";
-            job.state = state;
+            const record = readFinal(final.item.value);
+            job.state = record?.state ?? "done";
+            job.endedAt = record?.at ?? null;
             this.#stopAll(job);
             if (job.held.size === 0) this.#finished(job);
           } else this.#later(RETRY_MS, () => this.#reread(job));
@@ -403,6 +435,7 @@
     }
     if (!this.fleet.loaded) return;
     this.#follow();
+    this.pipelines.tick();
     this.fleet.greet();
     if (now - this.#surveyAt >= SURVEY_MS) {
       this.#surveyAt = now;
@@ -486,6 +519,10 @@
     const essence = (list: readonly MachineType[]) =>
       JSON.stringify(list.map(({ name, size, zones }) => [name, size, zones]));
     if (this.#writingTypes || essence(types) === essence(this.#view.types)) return;
+    if (bytesOf(types) > this.#ctx.limits.valueBytes) {
+      this.#ctx.log("error", "the machine types are too many for one record", { types: types.length });
+      return;
+    }
     this.#writingTypes = true;
     const conditions = [
       { key: KEYS.leader, version: this.reigning.version },
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -120,8 +120,8 @@
   #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
-      .filter((job) => job.state === "active" && !job.complete)
-      .sort((a, b) => a.acceptedAt - b.acceptedAt || (a.uid < b.uid ? -1 : 1));
+      .filter((job) => job.state === "active" && job.released && !job.complete)
+      .sort((a, b) => a.since - b.since || (a.uid < b.uid ? -1 : 1));
     const guaranteed = this.guaranteedJobs(jobs);
     this.preemption.guaranteed = guaranteed;
     const waiting = jobs.filter((job) => {
@@ -159,7 +159,7 @@
   #waits(job: Job, why: string): void {
     if (isAged(this.#ctx, job) && !job.toldWhy.has(why)) {
       job.toldWhy.add(why);
-      const waitedS = Math.round((this.#ctx.wallMs - job.acceptedAt) / 1000);
+      const waitedS = Math.round((this.#ctx.wallMs - job.since) / 1000);
       this.#ctx.log("info", "job still waits", { job: job.uid, why, waited_s: waitedS });
     }
     job.waitsFor = why;
@@ -204,7 +204,7 @@
     const { job } = entry;
     const { now } = this.#ctx;
     const withinS = waitAimS(this.#ctx, job);
-    const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
+    const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.since) / 1000;
     const vain = this.#vain.has(job, job.spec.tasks);
     if (leftS > 0) {
       const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
@@ -230,7 +230,7 @@
     job.blockedSince ??= this.#ctx.now;
     this.#waits(job, job.makingRoomUntil > this.#ctx.now ? "room is being made" : "no machine has room");
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
-    if (job.spec.priority >= 2 || (entry.guaranteed && !isPatient(this.#ctx, job))) {
+    if (job.priority >= 2 || (entry.guaranteed && !isPatient(this.#ctx, job))) {
       this.preemption.makeRoom(job, count, entry.guaranteed, () => true, null);
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
@@ -291,7 +291,7 @@
         const held = machine.reserved;
         if (held) {
           if (held.until <= now || held.job.pending === 0) machine.reserved = null;
-          else if (held.job !== job && (held.firm || held.job.spec.priority >= job.spec.priority)) continue;
+          else if (held.job !== job && (held.firm || held.job.priority >= job.priority)) continue;
         }
         if (this.#wastesGpus(job, machine)) continue;
         const failedHere = job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2;
@@ -362,7 +362,7 @@
   #slowsFetch(job: Job, machine: Machine): boolean {
     if (machine.images.has(job.spec.image)) return false;
     for (const { job: other, seen } of machine.placements) {
-      if (other.spec.shape !== "gang" || other.spec.priority <= job.spec.priority) continue;
+      if (other.spec.shape !== "gang" || other.priority <= job.priority) continue;
       if (seen === null || seen === "fetching") return true;
     }
     return false;
@@ -401,11 +401,11 @@
   #placeMany(job: Job, count: number): number {
     const withinS = waitAimS(this.#ctx, job);
     if (withinS === null) return this.#fillAny(job, count);
-    const leftS = withinS - (this.#ctx.wallMs - job.acceptedAt) / 1000;
+    const leftS = withinS - (this.#ctx.wallMs - job.since) / 1000;
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
     let placed = this.#vain.has(job, 1) ? 0 : this.#fill(job, count, quick);
-    if (placed < count && job.spec.priority >= 2) {
+    if (placed < count && job.priority >= 2) {
       placed += this.preemption.makeRoom(job, count - placed, false, quick, Math.max(0, leftS));
     }
     if (placed < count) placed += this.#fillAny(job, count - placed);
@@ -511,6 +511,7 @@
       machine,
       session: machine.session,
       attempt,
+      priority: job.priority,
       durable: false,
       allowedAt: Number.NEGATIVE_INFINITY,
       placedAt: this.#ctx.now,
--- a/src/core/stock.ts
+++ b/src/core/stock.ts
@@ -58,7 +58,7 @@
     const windowMs = this.#ctx.settings.spare_window_s * 1000;
     for (const job of this.#seen) if (!this.#tables.jobs.has(job.ix)) this.#seen.delete(job);
     for (const job of this.#tables.jobs.values()) {
-      if (job.spec.need.gpu === 0 || this.#seen.has(job)) continue;
+      if (job.spec.need.gpu === 0 || !job.released || this.#seen.has(job)) continue;
       this.#seen.add(job);
       for (const type of this.#tables.types.values()) {
         if (!suitsType(job.spec, type)) continue;
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -1,6 +1,6 @@
 import { add, fits, ZERO } from "./amount.js";
 import type { Directory } from "./names.js";
-import type { Amount, JobSpec, MachineType, Report, TaskState } from "./types.js";
+import type { Amount, JobSpec, MachineType, Priority, Report, TaskState } from "./types.js";
 
 /**
  * Attempts carry the token they were made under, so that none is ever used twice and anyone can tell
@@ -39,6 +39,8 @@
   readonly session: number;
   readonly attempt: number;
   readonly placedAt: number;
+  /** What its job counted as when it was placed. */
+  readonly priority: Priority;
   /** Recorded in the state service; nothing is sent before. */
   durable: boolean;
   /** Its job was not cancelled at this time: its record depended on that. */
@@ -91,7 +93,20 @@
   makingRoomUntil = 0;
   /** A gang: until when it waits for that room where its image is; null if it has not tried. */
   awaitedUntil: number | null = null;
-  readonly chunkVersions = new Map<number, number>();
+  /** The versions of the records of its placements, by key. */
+  readonly chunkVersions = new Map<string, number>();
+  /** Wall time of its end, as the final record has it. */
+  endedAt: number | null = null;
+  /** What it counts as: its own priority or, if higher, that of a job that waits for it. */
+  priority: Priority;
+  /** Wall time by which it should be done: by its own deadline, or for a job that waits for it to meet its own. */
+  dueAt: number | null;
+  /** How many unfinished jobs name it among those that they wait for. */
+  dependents = 0;
+  /** False while jobs that it needs are not on record as done: until then it counts for nothing but a question. */
+  released: boolean;
+  /** Wall time from which its waits count: its acceptance or, if later, the end of the last job that it needs. */
+  since: number;
   readonly #status: Uint8Array;
   #hint = 0;
 
@@ -100,12 +115,16 @@
     this.uid = spec.uid;
     this.spec = spec;
     this.acceptedAt = acceptedAt;
+    this.since = acceptedAt;
+    this.priority = spec.priority;
+    this.dueAt = spec.deadlineS === null ? null : acceptedAt + spec.deadlineS * 1000;
+    this.released = spec.awaits === undefined;
     this.version = version;
     this.#status = new Uint8Array(spec.tasks);
   }
 
   get pending(): number {
-    return this.state === "active" ? this.spec.tasks - this.doneCount - this.held.size : 0;
+    return this.state === "active" && this.released ? this.spec.tasks - this.doneCount - this.held.size : 0;
   }
 
   get complete(): boolean {
@@ -345,8 +364,8 @@
     this.#count(placement, -1);
   }
 
-  #count({ job, machine }: Placement, sign: 1 | -1): void {
-    const { need, priority, team } = job.spec;
+  #count({ job, machine, priority }: Placement, sign: 1 | -1): void {
+    const { need, team } = job.spec;
     machine.used = add(machine.used, need, sign);
     machine.usedBy[priority] = add(machine.usedBy[priority] ?? ZERO, need, sign);
     this.teamUse.set(team, add(this.teamUse.get(team) ?? ZERO, need, sign));
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -33,6 +33,16 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** The jobs that have to be done before any task of this one starts; absent where there are none. */
+  readonly awaits?: readonly string[];
+}
+
+/** What the state service takes. */
+export interface StateLimits {
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
 }
 
 export interface Team {
@@ -76,6 +86,8 @@
   readonly stateWriteRps: number;
   readonly valueBytes: number;
   readonly txnOps: number;
+  /** The limits that the state service will have from some moment on. */
+  readonly stateNext?: StateLimits | null;
   readonly cloudRps: number;
   readonly listLagS: number;
 }
@@ -171,6 +183,10 @@
   | { readonly t: "compacted" }
   /** The call was not executed and may be repeated. */
   | { readonly t: "refused"; readonly why: string }
+  /** The same, for the rate of calls or changes: to be repeated more slowly. */
+  | { readonly t: "throttled" }
+  /** The call was not executed and must not be repeated as it is: malformed, or beyond a limit. */
+  | { readonly t: "invalid"; readonly why: string }
   /** Nothing came back: it may have been, or may yet be, executed. */
   | { readonly t: "silent" };
 
@@ -235,6 +251,8 @@
       readonly leader: string | null;
       readonly stateOk: boolean;
       readonly workersHeard: number;
+      /** The protocol that the sender speaks; absent in the version before the first that has one. */
+      readonly protocol?: number | undefined;
     }
   | { readonly t: "job"; readonly item: StateItem }
   | { readonly t: "progress"; readonly rows: readonly (readonly [string, number, number])[] }
--- a/src/core/vain.ts
+++ b/src/core/vain.ts
@@ -17,8 +17,8 @@
   }
 
   /** The kind of place a job asks for: jobs of one kind differ only in how much they need of it. */
-  #kindOf({ spec }: Job): string {
-    const { types, zone, spot, priority, shape, oneZone, spread, checkpointS } = spec;
+  #kindOf({ spec, priority }: Job): string {
+    const { types, zone, spot, shape, oneZone, spread, checkpointS } = spec;
     return [
       types?.join() ?? "*",
       zone ?? "*",
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -1,6 +1,14 @@
 import { defaultOperator, readOperator } from "../config/operator.js";
 import type { Context } from "./context.js";
-import { KEYS, type LeaderRecord, readEpoch, readLeader, readModes, readTypes } from "./records.js";
+import {
+  KEYS,
+  type LeaderRecord,
+  readEpoch,
+  readFeatures,
+  readLeader,
+  readModes,
+  readTypes,
+} from "./records.js";
 import type { MachineType, StateItem } from "./types.js";
 
 const FOLLOW_MS = 5000;
@@ -21,6 +29,9 @@
   modes: Record<string, "cordon" | "drain"> = {};
   modesVersion = 0;
   move: StateItem | null = null;
+  /** The layout in which records are written: 1, that of the version before this one, until the feature gate opens. */
+  layout = 1;
+  featuresVersion = 0;
   /** False until the first full read. */
   loaded = false;
   readonly #ctx: Context;
@@ -120,6 +131,11 @@
         this.modesVersion = item.version;
         this.modes = readModes(item.value) ?? {};
         break;
+      case KEYS.features:
+        if (this.featuresVersion >= item.version) return;
+        this.featuresVersion = item.version;
+        this.layout = Math.max(this.layout, readFeatures(item.value)?.layout ?? 1);
+        break;
       case KEYS.move:
         if (this.move && this.move.version >= item.version) return;
         this.move = item;
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -7,16 +7,20 @@
 const UID = /^j-[0-9]{1,40}$/;
 const MAX_TASKS = 100_000;
 const MAX_NAME = 200;
+/** More jobs than that to wait for are taken for a mistake. */
+const MAX_AWAITS = 100;
 
 const text = v.pipe(v.string(), v.nonEmpty(), v.maxLength(MAX_NAME));
 const measure = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 
+const uid = v.pipe(v.string(), v.regex(UID, "must have the form j-000412"));
+
 const SHAPES: Record<string, Shape> = { sweep: "array", gang: "gang", daemon: "service" };
 const RANKS: Record<string, Priority> = { prod: 3, high: 2, normal: 1, idle: 0 };
 
 const schema = v.object({
-  uid: v.pipe(v.string(), v.regex(UID, "must have the form j-000412")),
+  uid,
   jobclass: text,
   crew: text,
   shape: v.picklist(["sweep", "gang", "daemon"]),
@@ -36,6 +40,7 @@
   snapshot_s: measure,
   stow_s: measure,
   due_s: v.nullish(measure, null),
+  awaits: v.nullish(v.pipe(v.array(uid), v.maxLength(MAX_AWAITS)), null),
 });
 
 export function isUid(value: string): boolean {
@@ -48,16 +53,16 @@
     return { uid: null, spec: "the body must be a JSON object" };
   }
   const claimed = (body as { uid?: unknown }).uid;
-  const uid = typeof claimed === "string" && isUid(claimed) ? claimed : null;
+  const id = typeof claimed === "string" && isUid(claimed) ? claimed : null;
   const result = v.safeParse(schema, body);
   if (!result.success) {
     const issue = result.issues[0];
-    return { uid, spec: `${v.getDotPath(issue) ?? "body"}: ${issue.message}` };
+    return { uid: id, spec: `${v.getDotPath(issue) ?? "body"}: ${issue.message}` };
   }
   const job = result.output;
   const shape = SHAPES[job.shape];
   const priority = RANKS[job.rank];
-  if (shape === undefined || priority === undefined) return { uid, spec: "shape or rank: unknown" };
+  if (shape === undefined || priority === undefined) return { uid: id, spec: "shape or rank: unknown" };
   const spec: JobSpec = {
     uid: job.uid,
     jobClass: job.jobclass,
@@ -78,7 +83,8 @@
     saveS: job.stow_s,
     deadlineS: job.due_s,
   };
-  return { uid, spec };
+  const awaits = [...new Set(job.awaits)];
+  return { uid: id, spec: awaits.length > 0 ? { ...spec, awaits } : spec };
 }
 
 export function encodeView(view: JobView): Record<string, unknown> {
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -17,6 +17,7 @@
   ),
 });
 const PAGE = 500;
+const MAX_WHY = 200;
 
 function encodeChange(change: StateChange): Record<string, unknown> {
   if ("remove" in change) return { delete: change.remove };
@@ -57,10 +58,11 @@
 }
 
 export function decodeStateAnswer(call: StateCall, status: number, body: unknown): StateAnswer {
-  if (status === 429 || status === 503) return { t: "refused", why: `status ${status}` };
+  if (status === 429) return { t: "throttled" };
+  if (status === 503) return { t: "refused", why: `status ${status}` };
   if (status === 404) return { t: "absent" };
   if (status === 410 && call.t === "follow") return { t: "compacted" };
-  if (status === 400) return { t: "refused", why: "status 400" };
+  if (status === 400) return { t: "invalid", why: JSON.stringify(body ?? null).slice(0, MAX_WHY) };
   if (status === 409 && call.t === "txn") {
     const result = v.safeParse(failed, body);
     return result.success ? { t: "conflict", failed: result.output.failed } : { t: "silent" };
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -17,6 +17,7 @@
     leader: v.nullable(v.string()),
     stateOk: v.boolean(),
     workersHeard: count,
+    protocol: v.optional(count),
   }),
   v.object({
     t: v.literal("job"),
