--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,318 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { readFinal } from "../src/core/records.js";
+import type { JobSpec, PeerMessage, StateCall, UserAnswer } from "../src/core/types.js";
+import { parseJob } from "../src/protocol/jobs.js";
+import { Bench, job, type Said } from "./bench.js";
+import { StateService } from "./state-service.js";
+
+const UNHEARD = { t: "refused", why: "outage" } as const;
+const NEW_BEAT = { t: "beat", token: 0, leader: null, stateOk: true, workersHeard: 0, protocol: 2 } as const;
+
+function phaseOf(answer: UserAnswer | undefined): string {
+  return answer?.t === "view" || answer?.t === "accepted" ? answer.view.phase : (answer?.t ?? "nothing");
+}
+
+/** A leader with machine A; j-1 runs there, and j-2 waits for it. */
+function waiting(more: Partial<JobSpec> = {}): { b: Bench; said: Said } {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1", more));
+  b.submit(job("j-2", { awaits: ["j-1"] }));
+  b.pass(300);
+  const start = b.starts("j-1")[0];
+  assert.ok(start);
+  const said = { uid: "j-1", task: 0, attempt: start.attempt, state: "running" } as const;
+  b.answerDo("A", [said]);
+  return { b, said };
+}
+
+function touchesFinal(call: StateCall, uid: string): boolean {
+  return call.t === "txn" && call.changes.some((change) => "put" in change && change.put === `f/${uid}`);
+}
+
+function end(b: Bench, said: Said): void {
+  b.report("A", [{ ...said, state: "ended", cause: "done" }]);
+}
+
+test("a job starts once those it needs are on record as done, not when a report says that they are", () => {
+  const { b, said } = waiting();
+  b.pass(5000);
+  assert.deepEqual(b.starts("j-2"), []);
+  // The final record is on its way, and may yet lose against a cancellation.
+  b.stateRule = (call) => (touchesFinal(call, "j-1") ? "hang" : null);
+  end(b, said);
+  b.pass(1000);
+  assert.deepEqual(b.starts("j-2"), []);
+  assert.equal(phaseOf(b.poll("j-2")), "queued");
+  b.stateRule = null;
+  const hung = b.hung.pop();
+  assert.ok(hung && hung.call.t !== "follow");
+  b.give({ t: "state", id: hung.id, answer: b.state.run(hung.call, b.now) });
+  b.pass(500);
+  assert.equal(b.starts("j-2").length, 1);
+});
+
+test("a final record whose answer is lost releases what waits for it once that is known, not before", () => {
+  const { b, said } = waiting();
+  let lost = 0;
+  b.stateRule = (call) => {
+    if (!touchesFinal(call, "j-1") || lost > 0) return null;
+    lost++;
+    // Carried out; only the answer is lost.
+    if (call.t !== "follow") b.state.run(call, b.now);
+    return { t: "silent" };
+  };
+  end(b, said);
+  assert.equal(lost, 1);
+  assert.deepEqual(b.starts("j-2"), []);
+  b.pass(1500);
+  assert.equal(b.starts("j-2").length, 1);
+});
+
+test("a cancellation at the moment of the last task's end: one write decides, for the job and for what waits for it", () => {
+  for (const cancelledFirst of [true, false]) {
+    const { b, said } = waiting();
+    if (cancelledFirst) {
+      // The other node's write is in before the leader's; the leader has yet to learn of it.
+      const other = new Bench("n1", b.state);
+      other.pass(300);
+      b.stateRule = (call) => (call.t === "follow" ? UNHEARD : null);
+      assert.equal(phaseOf(other.cancel("j-1")), "cancelled");
+      assert.equal(phaseOf(other.poll("j-2")), "cancelled", "at once, on the node that confirmed it");
+      end(b, said);
+      b.pass(2000);
+      assert.deepEqual(b.starts("j-2"), []);
+      assert.equal(phaseOf(b.poll("j-2")), "cancelled");
+    } else {
+      end(b, said);
+      b.pass(300);
+      assert.equal(phaseOf(b.cancel("j-1")), "done");
+      b.pass(500);
+      assert.equal(b.starts("j-2").length, 1, "an answer of done lets those after it go on");
+      assert.equal(phaseOf(b.poll("j-2")), "queued");
+    }
+  }
+});
+
+test("a new leader that has not read the final records starts nothing that may wait for them", () => {
+  const { b: old, said } = waiting();
+  old.submit(job("j-3", { awaits: ["j-2", "j-1"] }));
+  end(old, said);
+  old.pass(200);
+  old.state.expire(old.now + 60_000);
+  const b = new Bench("n1", old.state);
+  b.now = old.now + 60_000;
+  // j-1 is over: what it says lies under its final key alone, which can't be read for now.
+  b.stateRule = (call) => (call.t === "get" && call.key.startsWith("f/") ? UNHEARD : null);
+  b.lead();
+  b.pass(3000);
+  b.report("B");
+  b.pass(3000);
+  assert.deepEqual(b.starts("j-3"), []);
+  assert.equal(b.core.reign?.tables.jobByUid("j-3")?.released, false);
+  const final = readFinal(b.state.items.get("f/j-1")?.value);
+  assert.equal(final?.state, "done");
+  b.stateRule = null;
+  b.pass(2500);
+  const released = b.core.reign?.tables.jobByUid("j-2");
+  assert.equal(released?.released, true);
+  assert.equal(released?.since, final?.at, "its waits count from the end of what it needed, on record");
+});
+
+test("every node says cancelled of all that needs a cancelled job, with the leader refused, ended or never told", () => {
+  const { b } = waiting();
+  b.submit(job("j-3", { awaits: ["j-2"] }));
+  b.pass(300);
+  const other = new Bench("n1", b.state);
+  other.pass(300);
+  // Both nodes know all three as unfinished.
+  for (const uid of ["j-1", "j-2", "j-3"]) {
+    assert.notEqual(phaseOf(b.poll(uid)), "cancelled");
+    assert.notEqual(phaseOf(other.poll(uid)), "cancelled");
+  }
+  b.stateRule = () => UNHEARD;
+  assert.equal(phaseOf(other.cancel("j-1")), "cancelled");
+  assert.equal(phaseOf(other.poll("j-3")), "cancelled");
+  assert.equal(phaseOf(other.submit(job("j-3", { awaits: ["j-2"] }))), "cancelled", "a repeat");
+  assert.equal(phaseOf(other.submit(job("j-4", { awaits: ["j-3"] }))), "cancelled", "accepted all the same");
+  assert.equal(phaseOf(b.poll("j-3")), "later", "nothing older is said");
+  const third = new Bench("n2", b.state);
+  third.pass(300);
+  assert.equal(phaseOf(third.poll("j-4")), "cancelled", "on a node that has read nothing yet");
+  b.stateRule = null;
+  b.pass(3000);
+  for (const uid of ["j-2", "j-3", "j-4"]) {
+    assert.equal(readFinal(b.state.items.get(`f/${uid}`)?.value)?.state, "cancelled", uid);
+    assert.equal(phaseOf(b.poll(uid)), "cancelled");
+    assert.equal(phaseOf(b.submit(job(uid, { awaits: ["j-1"] }))), "cancelled");
+    assert.deepEqual(b.starts(uid), []);
+  }
+  assert.equal(phaseOf(b.submit(job("j-5", { awaits: ["j-2"] }))), "cancelled", "long after");
+});
+
+test("in an outage a cancellation that a node knows of is said of all that needs the job", () => {
+  const { b } = waiting();
+  b.cancel("j-1");
+  b.stateRule = () => UNHEARD;
+  assert.equal(phaseOf(b.poll("j-2")), "cancelled");
+});
+
+test("while it waits a job is queued and counts for nothing; from its release on for all", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  b.submit(job("j-1"));
+  // Would take the whole guarantee of its team, and find no machine.
+  b.submit(job("j-2", { awaits: ["j-1"], shape: "gang", tasks: 6, need: { cpu: 4000, gpu: 0, ram: 1000 } }));
+  b.pass(300);
+  const start = b.starts("j-1")[0];
+  assert.ok(start);
+  const said = { uid: "j-1", task: 0, attempt: start.attempt, state: "running" } as const;
+  for (let i = 0; i < 100; i++) {
+    b.answerDo("A", [said]);
+    b.report("A", [said]);
+    b.pass(2000);
+  }
+  const { reign } = b.core;
+  const first = reign?.tables.jobByUid("j-1");
+  const second = reign?.tables.jobByUid("j-2");
+  assert.ok(reign && first && second);
+  assert.equal(phaseOf(b.poll("j-2")), "queued");
+  assert.equal(second.pending, 0);
+  assert.deepEqual(reign.scheduler.blocked, []);
+  assert.equal(b.cloudCalls.filter(({ t }) => t === "hire").length, 0);
+  assert.ok(reign.scheduler.guaranteedJobs([first]).has(first));
+  const { awaiting } = b.core.status() as { awaiting: unknown[] };
+  assert.deepEqual(awaiting, [{ job: "j-2", tasks: 6, awaits: ["j-1"] }]);
+  // 200 s after its acceptance it has waited for nothing yet.
+  end(b, said);
+  b.pass(1000);
+  assert.equal(second.pending, 6);
+  assert.ok(b.core.ctx.wallMs - second.since < 2000);
+  assert.ok(b.cloudCalls.some(({ t }) => t === "hire"));
+  assert.ok(!b.logged.includes("job still waits"), "not aged by the wait for others");
+});
+
+test("priority and deadline of the last job reach those before it, and go when it is cancelled", () => {
+  const b = new Bench().lead();
+  b.submit(job("j-1", { priority: 0, tasks: 8 }));
+  b.submit(job("j-2", { priority: 0, tasks: 8, estimateS: 20, awaits: ["j-1"] }));
+  b.pass(300);
+  const of = (uid: string) => {
+    const found = b.core.reign?.tables.jobByUid(uid);
+    assert.ok(found);
+    const { priority, dueAt, acceptedAt } = found;
+    return { priority, dueS: dueAt === null ? null : Math.round((dueAt - acceptedAt) / 1000) };
+  };
+  assert.deepEqual(of("j-1"), { priority: 0, dueS: null });
+  b.submit(job("j-3", { priority: 2, deadlineS: 100, estimateS: 5, awaits: ["j-2", "j-1"] }));
+  b.pass(300);
+  assert.deepEqual(of("j-3"), { priority: 2, dueS: 100 });
+  assert.deepEqual(of("j-2"), { priority: 2, dueS: 95 });
+  assert.deepEqual(of("j-1"), { priority: 2, dueS: 75 });
+  // A new leader finds the same.
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.priority, 2);
+  next.cancel("j-3");
+  next.pass(500);
+  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.priority, 0);
+  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.dueAt, null);
+});
+
+test("what a submission may name: accepted jobs that are no services; repeats count once", () => {
+  const b = new Bench().lead();
+  b.submit(job("j-1"));
+  b.submit(job("j-2", { shape: "service" }));
+  b.submit(job("j-3"));
+  b.cancel("j-3");
+  assert.equal(b.submit(job("j-4", { awaits: ["j-9"] }))?.t, "never", "never accepted");
+  assert.equal(b.submit(job("j-5", { awaits: ["j-5"] }))?.t, "never", "itself");
+  assert.equal(b.submit(job("j-6", { awaits: ["j-1", "j-2"] }))?.t, "never", "a service");
+  b.cancel("j-2");
+  b.pass(2000);
+  const other = new Bench("n1", b.state);
+  other.pass(300);
+  assert.equal(
+    other.submit(job("j-6", { awaits: ["j-2"] }))?.t,
+    "never",
+    "a service that is over, on another node",
+  );
+  assert.equal(phaseOf(other.submit(job("j-7", { awaits: ["j-3"] }))), "cancelled");
+  other.stateRule = (call) => (call.t === "get" && call.key === "j/j-1" ? UNHEARD : null);
+  assert.equal(other.submit(job("j-8", { awaits: ["j-1"] }))?.t, "later", "can't be known now");
+  other.stateRule = null;
+  assert.equal(other.submit(job("j-8", { awaits: ["j-1"] }))?.t, "accepted");
+  const repeat = other.submit(job("j-8", { awaits: ["j-9", "j-8", "j-2"] }));
+  assert.deepEqual([repeat?.t, phaseOf(repeat)], ["accepted", "queued"], "known, whatever it names");
+});
+
+test("awaits: null, absent or empty is none; anything but a list of a hundred well-formed ids is refused", () => {
+  const body = {
+    uid: "j-1",
+    jobclass: "work",
+    crew: "red",
+    shape: "sweep",
+    rank: "idle",
+    pieces: 1,
+    cpus: 1,
+    gpus: 0,
+    ram_gb: 1,
+    same_place: false,
+    apart: false,
+    loaners: false,
+    bundle: "img",
+    size_gb: 1,
+    guess_s: 1,
+    snapshot_s: 0,
+    stow_s: 0,
+  };
+  const parse = (awaits: unknown) => parseJob({ ...body, awaits }).spec;
+  const names = (awaits: unknown) => {
+    const spec = parse(awaits);
+    assert.ok(typeof spec !== "string", String(spec));
+    return spec.awaits;
+  };
+  assert.equal(names(undefined), undefined);
+  assert.equal(names(null), undefined);
+  assert.equal(names([]), undefined);
+  assert.deepEqual(names(["j-000398", "j-000405", "j-000398"]), ["j-000398", "j-000405"]);
+  const many = Array.from({ length: 101 }, (_, i) => `j-${i}`);
+  for (const bad of ["j-1", 7, {}, ["x-1"], [null], [["j-1"]], ["j-"], many])
+    assert.match(String(parse(bad)), /^awaits/, JSON.stringify(bad));
+});
+
+test("while a node of the version before is heard, a job that waits for others is refused for now", () => {
+  const b = new Bench().lead();
+  b.submit(job("j-1"));
+  const { protocol: _, ...oldBeat } = NEW_BEAT;
+  const hear = (message: PeerMessage) => b.give({ t: "peer", from: "n1", message });
+  hear(oldBeat);
+  assert.equal(b.submit(job("j-2", { awaits: ["j-1"] }))?.t, "later");
+  assert.equal(b.submit(job("j-3"))?.t, "accepted", "all else goes on");
+  hear(NEW_BEAT);
+  assert.equal(b.submit(job("j-2", { awaits: ["j-1"] }))?.t, "accepted");
+  hear(oldBeat);
+  assert.equal(phaseOf(b.submit(job("j-2", { awaits: ["j-1"] }))), "queued", "a repeat is never refused");
+  // A node that is down or cut off does not block pipelines for ever.
+  b.pass(16_000);
+  assert.equal(b.submit(job("j-4", { awaits: ["j-1"] }))?.t, "accepted");
+});
+
+test("polls of pipelines compare within the operations limit, and re-read only what failed", () => {
+  const b = new Bench("n0", new StateService(), "n0-1", { txnOps: 4, stateNext: null }).lead();
+  for (let i = 1; i <= 30; i++)
+    b.submit(job(`j-${i}`, i > 1 ? { awaits: [`j-${i - 1}`, ...(i > 2 ? ["j-1"] : [])] } : {}));
+  b.pass(1000);
+  const sizes: number[] = [];
+  b.state.limits = { valueBytes: 8192, txnOps: 4, writeRps: 1000 };
+  b.stateRule = (call) => {
+    if (call.t === "txn" && call.changes.length === 0) sizes.push(call.conditions.length);
+    return null;
+  };
+  for (let i = 1; i <= 30; i++) assert.equal(phaseOf(b.poll(`j-${i}`)), "queued", `j-${i}`);
+  assert.ok(sizes.length > 0 && Math.max(...sizes) <= 16, String(sizes));
+  assert.equal(b.state.invalid, 0);
+});
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,371 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { parseSettings, SettingsError } from "../src/config/settings.js";
+import { MachineRecords } from "../src/core/machine-records.js";
+import { Directory } from "../src/core/names.js";
+import { readChunks } from "../src/core/stored-chunks.js";
+import { Tables, tokenOf } from "../src/core/tables.js";
+import type { Effect, StateCall, StateItem } from "../src/core/types.js";
+import { Bench, job } from "./bench.js";
+import { productionHears, productionReads } from "./production.js";
+import { SETTINGS } from "./settings.js";
+import { StateService } from "./state-service.js";
+
+const FIXTURE = new URL("../../../test/fixtures/production-state.json", import.meta.url);
+const SMALL = { valueBytes: 2048, txnOps: 10, writeRps: 28 };
+const OLD_BEAT = { t: "beat", token: 0, leader: null, stateOk: true, workersHeard: 0 } as const;
+const NEW_BEAT = { ...OLD_BEAT, protocol: 2 } as const;
+
+/** What production's own code had on record, written out at the commit that deploy/service.toml names. */
+function productionState(): StateService {
+  const { items, revision } = JSON.parse(readFileSync(FIXTURE, "utf8")) as {
+    items: StateItem[];
+    revision: number;
+  };
+  const state = new StateService();
+  for (const item of items) state.items.set(item.key, item);
+  state.revision = revision;
+  return state;
+}
+
+function hearBoth(b: Bench, beat: typeof OLD_BEAT | typeof NEW_BEAT = NEW_BEAT): void {
+  for (const from of ["n1", "n2"]) b.give({ t: "peer", from, message: beat });
+}
+
+function valuesOf(state: StateService): [string, number][] {
+  return [...state.items].map(([key, { value }]) => [key, Buffer.byteLength(JSON.stringify(value))]);
+}
+
+/** Every machine reports as running what it has been told to start, by this leader or an earlier one. */
+function reportAll(b: Bench): void {
+  const { reign } = b.core;
+  if (!reign) return;
+  const { firstToken } = reign.reigning;
+  for (const machine of reign.tables.machines.values()) {
+    const said = [...machine.placements]
+      .filter(({ sentToken, attempt }) => sentToken > 0 || tokenOf(attempt) < firstToken)
+      .map(({ job: { uid }, task, attempt }) => ({ uid, task, attempt, state: "running" as const }));
+    b.report(machine.name, said);
+    b.answerDo(machine.name, said);
+  }
+}
+
+/** How many tasks of a job are known to run. */
+function running(b: Bench, uid: string): number {
+  return b.core.reign?.tables.jobByUid(uid)?.running() ?? 0;
+}
+
+/** Lets time pass while every machine reports, and answers what it is told directly. */
+function live(b: Bench, seconds: number): void {
+  for (let i = 0; i < seconds; i++) {
+    reportAll(b);
+    b.pass(1000);
+  }
+  reportAll(b);
+}
+
+test("production's records are read whole by a new leader, whose own can be read by production until the gate opens", () => {
+  const state = productionState();
+  const b = new Bench("n0", state);
+  const unreadable: string[] = [];
+  state.written = (key, value) => {
+    if (productionReads(key, value) === null) unreadable.push(key);
+  };
+  b.lead();
+  const { tables } = b.core.reign ?? assert.fail("no leader");
+  assert.deepEqual([...tables.jobs.values()].map(({ uid }) => uid).sort(), [
+    "j-000001",
+    "j-000002",
+    "j-000003",
+  ]);
+  assert.equal(tables.jobByUid("j-000001")?.held.size, 150);
+  assert.equal(tables.jobByUid("j-000003")?.doneCount, 2);
+  assert.deepEqual(b.core.view.modes, { "i-000050": "drain" });
+  assert.equal(b.core.ctx.settings.idle_s, 60);
+  assert.deepEqual(b.poll("j-000005"), {
+    t: "view",
+    view: { uid: "j-000005", phase: "done", done: 1, running: 0 },
+  });
+  reportAll(b);
+  b.submit(job("j-7", { tasks: 40, team: "blue" }));
+  b.cancel("j-000003");
+  b.admin({ t: "machine", name: "i-000051", mode: "cordon" });
+  b.pass(3000);
+  reportAll(b);
+  b.pass(8000);
+  assert.ok(b.starts("j-7").length > 0);
+  assert.deepEqual(unreadable, []);
+  assert.deepEqual(b.faults, []);
+  // Chunks of 128 tasks, under the keys that production knows.
+  assert.ok(state.items.has("p/j-7/0"));
+});
+
+test("messages between the versions: production hears this version's heartbeats, and this one production's", () => {
+  const core = new Bench().core;
+  const effects: Effect[] = [];
+  for (let now = 1000; now < 4000; now += 100)
+    effects.push(...core.handle([{ t: "tick" }], now, { spent: () => false }));
+  const beats = effects.flatMap((e) => (e.t === "peerSend" ? [e.message] : []));
+  assert.ok(beats.length > 0);
+  for (const beat of beats) assert.notEqual(productionHears(beat), null, JSON.stringify(beat));
+  assert.equal(productionReads("j/j-1", { state: "awaiting", acceptedAt: 1, spec: job("j-1") }), null);
+});
+
+test("a job that waits for others is not read, and so never started, by production; its cancellation is", () => {
+  const b = new Bench().lead();
+  b.submit(job("j-1"));
+  b.submit(job("j-2", { awaits: ["j-1"] }));
+  assert.equal(productionReads("j/j-2", b.state.items.get("j/j-2")?.value), null);
+  b.stateRule = (call) => (call.t === "follow" ? { t: "refused", why: "" } : null);
+  new Bench("n1", b.state).lead().cancel("j-2");
+  assert.notEqual(productionReads("j/j-2", b.state.items.get("j/j-2")?.value), null);
+});
+
+test("the gate opens once every node has said that it is new, stays open, and opens for no leader that heard an old one", () => {
+  const b = new Bench().lead();
+  hearBoth(b, OLD_BEAT);
+  b.pass(2000);
+  b.give({ t: "peer", from: "n1", message: NEW_BEAT });
+  b.pass(5000);
+  assert.equal(b.core.view.layout, 1, "n2 is old");
+  b.give({ t: "peer", from: "n2", message: NEW_BEAT });
+  b.pass(500);
+  assert.equal(b.core.view.layout, 2);
+  // Another node knows it from the record, also a new leader that has heard nobody; an old word closes nothing.
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  next.give({ t: "peer", from: "n0", message: OLD_BEAT });
+  next.pass(3000);
+  assert.equal(next.core.view.layout, 2);
+});
+
+test("after the fall of the limits, with production's large records on file, everything goes on within them", () => {
+  const state = productionState();
+  const b = new Bench("n0", state).lead();
+  hearBoth(b);
+  reportAll(b);
+  b.pass(500);
+  state.limits = SMALL;
+  reportAll(b);
+  // Tasks of both production's chunks end; others are placed anew.
+  const first = b.core.reign?.tables.jobByUid("j-000001") ?? assert.fail("not read");
+  const ended = [...first.held.values()].filter(({ task }) => task % 50 === 7);
+  for (const { machine, task, attempt } of ended) {
+    const others = [...machine.placements]
+      .filter((p) => p.task !== task || p.job !== first)
+      .map((p) => ({ uid: p.job.uid, task: p.task, attempt: p.attempt, state: "running" as const }));
+    b.report(machine.name, [{ uid: first.uid, task, attempt, state: "ended", cause: "done" }, ...others]);
+  }
+  b.submit(job("j-8", { tasks: 60, team: "blue", need: { cpu: 100, gpu: 0, ram: 100 } }));
+  b.cancel("j-000002");
+  live(b, 15);
+  assert.equal(running(b, "j-8"), 60);
+  assert.equal(state.invalid, 0, "the fall is no event");
+  assert.equal(b.core.leadership.confirmed, true);
+  const large = valuesOf(state).filter(([, bytes]) => bytes > SMALL.valueBytes);
+  // What has not changed since stays as it was.
+  assert.deepEqual(
+    large.map(([key]) => key),
+    ["m/0", "p/j-000001/0"],
+  );
+  // The next leader finds what is newest, from records of both sizes.
+  state.expire(b.now + 60_000);
+  const next = new Bench("n1", state);
+  next.now = b.now + 60_000;
+  next.lead();
+  const again = next.core.reign?.tables.jobByUid("j-000001") ?? assert.fail("not read");
+  assert.equal(again.doneCount, ended.length);
+  assert.equal(again.held.size, 150 - ended.length);
+  for (const { task } of ended) assert.ok(again.isDone(task), `task ${task}`);
+  assert.equal(next.core.reign?.tables.jobByUid("j-8")?.held.size, 60);
+  const machines = [...(next.core.reign?.tables.machines.values() ?? [])];
+  assert.ok(
+    machines.filter((m) => m.placements.size > 0).every((m) => m.address !== "" || m.bucket === null),
+  );
+  // A job with both kinds of records completes, and leaves none of them.
+  next.cancel("j-000001");
+  for (const machine of machines) next.report(machine.name, [], { session: 2 });
+  next.pass(15_000);
+  for (const machine of machines) next.report(machine.name, [], { session: 2 });
+  next.pass(15_000);
+  assert.deepEqual(
+    [...state.items.keys()].filter((key) => key.startsWith("p/j-000001/")),
+    [],
+  );
+});
+
+/** A leader that has heard no peer, with 60 machines, and every transaction that was refused for what is in it. */
+function unprepared(next: boolean): { b: Bench; refused: string[] } {
+  const b = new Bench("n0", new StateService(), "n0-1", next ? {} : { stateNext: null }).lead();
+  const refused: string[] = [];
+  b.stateRule = (call: StateCall) => {
+    if (call.t !== "txn") return null;
+    const answer = b.state.run(call, b.now);
+    if (answer.t === "invalid") refused.push(JSON.stringify(call));
+    return answer;
+  };
+  for (let i = 0; i < 60; i++) b.report(`i-${i}`);
+  return { b, refused };
+}
+
+test("the limits fall before all nodes are heard: a 400 is never repeated as it was, and opens the gate", () => {
+  const { b, refused } = unprepared(true);
+  b.state.limits = SMALL;
+  b.submit(job("j-1", { tasks: 150, need: { cpu: 100, gpu: 0, ram: 100 } }));
+  live(b, 15);
+  assert.equal(b.core.view.layout, 2);
+  assert.equal(running(b, "j-1"), 150);
+  assert.equal(new Set(refused).size, refused.length, "nothing is sent twice as it was");
+  assert.ok(refused.length > 0 && refused.length < 10, `${refused.length} refused`);
+  assert.equal(b.core.leadership.confirmed, true);
+});
+
+test("one record that can't be written holds up no other, nor renewals", () => {
+  const { b, refused } = unprepared(true);
+  const name = `i-${"x".repeat(290)}`;
+  b.report(name, [], { zone: "b" });
+  b.state.limits = SMALL;
+  b.submit(job("j-1", { tasks: 20, need: { cpu: 100, gpu: 0, ram: 100 }, priority: 2, zone: "b" }));
+  for (let i = 2; i < 12; i++) b.submit(job(`j-${i}`, { need: { cpu: 100, gpu: 0, ram: 100 }, zone: "a" }));
+  live(b, 20);
+  for (let i = 2; i < 12; i++) assert.equal(running(b, `j-${i}`), 1, `j-${i}`);
+  assert.deepEqual(b.starts("j-1"), [], "nothing is started that is not on record");
+  assert.equal(b.core.leadership.confirmed, true);
+  assert.ok(refused.length < 10, `${refused.length} refused`);
+  assert.ok(b.faults.includes("a record can't be written"));
+});
+
+test("429 is met by a slower rate, not by asking again at once", () => {
+  const { b } = unprepared(true);
+  hearBoth(b);
+  b.pass(1000);
+  b.state.limits = SMALL;
+  for (let i = 0; i < 300; i++) b.submit(job(`j-${i}`, { need: { cpu: 50, gpu: 0, ram: 50 } }));
+  const before = b.state.throttled;
+  live(b, 30);
+  assert.ok(b.state.throttled - before < 30, `${b.state.throttled - before} throttled in 30 s`);
+  const accepted = [...b.state.items.keys()].filter((key) => key.startsWith("j/")).length;
+  assert.ok(accepted > 0);
+  const started = Array.from({ length: 300 }, (_, i) => running(b, `j-${i}`)).filter((n) => n > 0).length;
+  assert.equal(started, accepted, "what was accepted is started");
+});
+
+test("a job with long lists: refused under the smaller limit; one stored before can be cancelled, and completed", () => {
+  const types = ["small", ...Array.from({ length: 300 }, (_, i) => `another-type-${i}`)];
+  const state = new StateService();
+  const old = new Bench("n0", state, "n0-1", { stateNext: null }).lead();
+  old.report("A");
+  for (const uid of ["j-1", "j-2"]) assert.equal(old.submit(job(uid, { types }))?.t, "accepted");
+  old.pass(300);
+  state.limits = SMALL;
+  state.expire(old.now + 60_000);
+  const b = new Bench("n1", state);
+  b.now = old.now + 60_000;
+  b.lead();
+  assert.match(JSON.stringify(b.submit(job("j-3", { types }))), /malformed.*too large/);
+  assert.equal(b.submit(job("j-1", { types }))?.t, "accepted", "a repeat");
+  assert.equal(b.cancel("j-1")?.t, "view");
+  assert.equal(state.invalid, 0);
+  const starts = old.starts("j-2");
+  assert.equal(starts.length, 1);
+  const attempt = starts[0]?.attempt ?? 0;
+  b.report("A", [{ uid: "j-2", task: 0, attempt, state: "ended", cause: "done" }], { token: 2 });
+  b.pass(3000);
+  for (const uid of ["j-1", "j-2"]) assert.ok(state.items.has(`f/${uid}`), uid);
+});
+
+test("what operators set must fit a record", () => {
+  const b = new Bench().lead();
+  let refused = 0;
+  for (let i = 0; i < 120; i++) {
+    const answer = b.admin({ t: "machine", name: `machine-${i}`, mode: "drain" });
+    if (answer?.t === "bad") refused++;
+  }
+  assert.ok(refused > 0 && refused < 100, `${refused} refused`);
+  assert.ok(valuesOf(b.state).every(([, bytes]) => bytes <= SMALL.valueBytes));
+});
+
+test("a record of machines that has become too large is split, what it gives away written first", () => {
+  const tables = new Tables(new Directory());
+  let valueBytes = 8192;
+  const records = new MachineRecords(tables, () => valueBytes);
+  const at = { address: "10.1.0.232:9000", type: "small", zone: "a", spot: false };
+  const machines = Array.from({ length: 48 }, (_, i) =>
+    tables.machine(`i-${String(i).padStart(6, "0")}`, at, 0),
+  );
+  records.inherit(0, machines, 5);
+  assert.deepEqual(records.changed(), []);
+  valueBytes = SMALL.valueBytes;
+  const [gone, other] = machines;
+  assert.ok(gone && other);
+  assert.deepEqual(records.toWrite(other), [], "nothing has changed");
+  records.gone(gone);
+  const changed = records.changed();
+  assert.deepEqual(
+    changed.map(({ index }) => index),
+    [1, 0],
+  );
+  for (const bucket of changed)
+    assert.ok(Buffer.byteLength(JSON.stringify(records.value(bucket))) <= valueBytes, `${bucket.index}`);
+  const listed = changed.flatMap((bucket) => records.value(bucket).machines.map(([name]) => name));
+  assert.deepEqual(
+    listed.sort(),
+    machines.slice(1).map(({ name }) => name),
+  );
+});
+
+test("of records that cover the same task the newest is right", () => {
+  const items: StateItem[] = [
+    {
+      key: "p/j-1/0",
+      version: 5,
+      value: {
+        held: [
+          [3, "A", 1, 7],
+          [40, "A", 1, 7],
+        ],
+        done: [[0, 1]],
+      },
+    },
+    { key: "p/j-1/0.32", version: 9, value: { held: [], done: [[0, 3]] } },
+    { key: "p/j-1/x", version: 9, value: {} },
+  ];
+  for (const order of [items, [...items].reverse()]) {
+    const { found, unreadable } = readChunks(order);
+    const chunks = found.get("j-1") ?? [];
+    assert.deepEqual(chunks.flatMap(({ done }) => done).sort(), [0, 1, 2, 3]);
+    assert.deepEqual(
+      chunks.flatMap(({ placed }) => placed.map(({ task }) => task)),
+      [40],
+    );
+    assert.deepEqual(unreadable, [{ key: "p/j-1/x", uid: "j-1" }]);
+  }
+});
+
+test("settings: the limits to come are optional; impossible ones name their field", () => {
+  const withNext = (next: string) =>
+    SETTINGS.replace("[deployment.cloud]", `[deployment.state.next]\n${next}\n[deployment.cloud]`);
+  assert.equal(parseSettings(SETTINGS).deployment.stateNext, null);
+  assert.deepEqual(parseSettings(withNext("value_kb = 2.0\ntxn_ops = 10")).deployment.stateNext, {
+    rps: 250,
+    writeRps: 100,
+    valueBytes: 2048,
+    txnOps: 10,
+  });
+  const bad: [string, RegExp][] = [
+    ["value_kb = 0", /deployment\.state\.next\.value_kb/],
+    ["value_kb = 0.25", /deployment\.state\.next\.value_kb/],
+    ["txn_ops = 2", /deployment\.state\.next\.txn_ops/],
+    ['write_rps = "28"', /deployment\.state\.next\.write_rps/],
+    ["rps = -1", /deployment\.state\.next\.rps/],
+  ];
+  for (const [next, field] of bad)
+    assert.throws(
+      () => parseSettings(withNext(next)),
+      (error) => error instanceof SettingsError && field.test(error.message),
+      next,
+    );
+});
