--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -2,12 +2,12 @@
 import { type Budget, Context } from "./context.js";
 import { FeatureGate } from "./feature-gate.js";
 import { Intake, later } from "./intake.js";
+import { LeaderTerm } from "./leader-term.js";
 import { Leadership } from "./leadership.js";
 import { bytesOf } from "./limits.js";
 import { Directory } from "./names.js";
 import { seeded } from "./random.js";
 import { KEYS, PROTOCOL } from "./records.js";
-import { Reign } from "./reign.js";
 import type {
   AdminAnswer,
   AdminAsk,
@@ -21,15 +21,15 @@
 } from "./types.js";
 import { ConfigView } from "./view.js";
 
-const BEAT_MS = 1000;
+const HEARTBEAT_MS = 1000;
 const PEER_FRESH_MS = 3500;
 /** Without a leader a report waits this long for one: workers give up after 4 s. */
 const HOLD_REPORT_MS = 2000;
 /** A node that was last heard speaking the older protocol counts as such for so long. */
 const OLD_PEER_MS = 15_000;
 /** A leader that has heard none of at least so many machines for so many report intervals is cut off from them. */
-const DEAF_MIN = 3;
-const DEAF_REPORTS = 3;
+const CUT_OFF_MACHINES = 3;
+const CUT_OFF_REPORTS = 3;
 const SWEEP_MS = 30_000;
 const UNREADY_AFTER_MS = 2500;
 const CALL_MS = 1500;
@@ -57,7 +57,7 @@
   readonly leadership: Leadership;
   readonly intake: Intake;
   readonly gate: FeatureGate;
-  reign: Reign | null = null;
+  leaderTerm: LeaderTerm | null = null;
   readonly #peers = new Map<string, Peer>();
   readonly #progress = new Map<string, { done: number; running: number }>();
   /** The newest report of each worker that came to this node: a copy that comes late says nothing of where it is. */
@@ -65,36 +65,36 @@
   /** Workers that have lately reported to this node, whether or not it could answer them. */
   readonly #reporters = new Map<number, number>();
   #waitingReports: { req: number; report: Report; raw: unknown; until: number }[] = [];
-  #beatAt = Number.NEGATIVE_INFINITY;
+  #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
 
   constructor(deployment: Deployment, identity: Identity) {
     this.ctx = new Context(deployment, this.directory, seeded(identity.seed), identity.epochMs);
     this.view = new ConfigView(this.ctx, (key) => {
       this.leadership.configChanged(key);
-      if (key === KEYS.modes) this.reign?.applyModes();
+      if (key === KEYS.modes) this.leaderTerm?.applyModes();
     });
     this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
-      elected: (reigning) => {
-        this.ctx.log("info", "elected", { token: reigning.token });
-        this.reign = new Reign(this.ctx, this.view, this.leadership, reigning, this.gate);
-        this.#beatAt = Number.NEGATIVE_INFINITY;
+      elected: (term) => {
+        this.ctx.log("info", "elected", { token: term.token });
+        this.leaderTerm = new LeaderTerm(this.ctx, this.view, this.leadership, term, this.gate);
+        this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
       deposed: (why) => {
         this.ctx.log("info", "no longer leader", { why });
-        this.reign?.end();
-        this.reign = null;
-        this.#beatAt = Number.NEGATIVE_INFINITY;
+        this.leaderTerm?.end();
+        this.leaderTerm = null;
+        this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
       alone: () => this.#alone,
-      startsUnderWay: () => this.reign?.fleet.startsUnderWay() ?? false,
-      knownThrough: () => this.reign?.knownThrough ?? null,
+      startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
+      knownThrough: () => this.leaderTerm?.knownThrough ?? null,
     });
-    this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.reign);
+    this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.term);
     this.intake = new Intake(this.ctx, this.view, {
       learned: (item, cancelled) => this.#learned(item, cancelled),
       oldPeerHeard: () => this.#oldPeerHeard,
-      counts: (uid) => this.reign?.counts(uid) ?? this.#progress.get(uid) ?? null,
+      counts: (uid) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
     for (const name of deployment.peers) {
       this.#peers.set(name, {
@@ -137,7 +137,7 @@
   }
 
   get leaderName(): string | null {
-    if (this.reign) return this.ctx.deployment.node;
+    if (this.leaderTerm) return this.ctx.deployment.node;
     return this.view.leader?.value.node ?? null;
   }
 
@@ -147,7 +147,7 @@
     for (const command of batch) this.#guard(() => this.#one(command, budget));
     this.#guard(() => {
       this.#answerWaiting();
-      this.reign?.settle(budget);
+      this.leaderTerm?.settle(budget);
     });
     return this.ctx.takeEffects();
   }
@@ -187,7 +187,7 @@
         this.#report(command.req, command.report, command.raw);
         break;
       case "doDone":
-        this.reign?.fleet.doAnswered(command.id, command.report, command.executed);
+        this.leaderTerm?.fleet.doAnswered(command.id, command.report, command.executed);
         break;
       case "state":
         this.ctx.stateAnswered(command.id, command.answer);
@@ -221,16 +221,16 @@
     this.view.tick();
     this.intake.comparePolls();
     this.leadership.tick();
-    this.reign?.tick(budget);
+    this.leaderTerm?.tick(budget);
     const { now } = this.ctx;
-    if (this.reign && !this.gate.isOpen) this.gate.tick();
-    if (now - this.#beatAt >= BEAT_MS) {
+    if (this.leaderTerm && !this.gate.isOpen) this.gate.tick();
+    if (now - this.#heartbeatAt >= HEARTBEAT_MS) {
       this.#mayHandOver();
-      this.#beat();
+      this.#sendHeartbeat();
     }
     if (now - this.#sweepAt >= SWEEP_MS) {
       this.#sweepAt = now;
-      const used = this.reign?.inUse() ?? { jobs: new Set<number>(), machines: new Set<number>() };
+      const used = this.leaderTerm?.inUse() ?? { jobs: new Set<number>(), machines: new Set<number>() };
       for (const waiting of this.#waitingReports) {
         used.machines.add(waiting.report.machine);
         for (const entry of waiting.report.tasks) used.jobs.add(entry.job);
@@ -248,15 +248,15 @@
    * the same, and this one stays out of the race for a while: leadership doesn't flap.
    */
   #mayHandOver(): void {
-    if (!this.reign) return;
+    if (!this.leaderTerm) return;
     const { now, deployment } = this.ctx;
-    const quietMs = deployment.reportS * DEAF_REPORTS * 1000;
-    const machines = [...this.reign.tables.machines.values()].filter((m) => m.phase === "up" && !m.lost);
+    const quietMs = deployment.reportS * CUT_OFF_REPORTS * 1000;
+    const machines = [...this.leaderTerm.tables.machines.values()].filter((m) => m.phase === "up" && !m.lost);
     const heard = machines.filter((m) => Number.isFinite(m.heardAt));
-    if (heard.length < DEAF_MIN) return;
+    if (heard.length < CUT_OFF_MACHINES) return;
     // The other direction: where most don't hear, it is this node that can't send.
-    if (heard.filter((m) => m.deafSince !== null).length > heard.length / 2) {
-      this.leadership.handOver("workers do not hear this node");
+    if (heard.filter((m) => m.unreachableSince !== null).length > heard.length / 2) {
+      this.leadership.handOver("workers can't be reached from this node");
       return;
     }
     if (heard.some((m) => now - m.heardAt < quietMs)) return;
@@ -264,12 +264,12 @@
     if (others || this.#alone) this.leadership.handOver("no worker is heard here");
   }
 
-  #beat(): void {
-    this.#beatAt = this.ctx.now;
+  #sendHeartbeat(): void {
+    this.#heartbeatAt = this.ctx.now;
     const message: PeerMessage = {
       t: "beat",
-      token: this.leadership.reign?.token ?? this.leadership.highestSeen,
-      leader: this.reign ? this.ctx.deployment.node : null,
+      token: this.leadership.term?.token ?? this.leadership.highestSeen,
+      leader: this.leaderTerm ? this.ctx.deployment.node : null,
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
       workersHeard: this.#workersHeard(),
       protocol: PROTOCOL,
@@ -296,7 +296,7 @@
         this.leadership.peerShows(from, message.token);
         break;
       case "job":
-        this.reign?.learnJob(message.item);
+        this.leaderTerm?.learnJob(message.item);
         break;
       case "progress":
         for (const [uid, done, running] of message.rows) {
@@ -318,8 +318,8 @@
   }
 
   #learned(item: StateItem, cancelled: boolean): void {
-    if (this.reign) {
-      this.reign.learnJob(item);
+    if (this.leaderTerm) {
+      this.leaderTerm.learnJob(item);
       return;
     }
     const leader = this.leaderName;
@@ -333,10 +333,10 @@
 
   /** Only the leader's answers carry a token; null if this node may not answer. */
   #leaderAnswer(report: Report): ReportAnswer | null {
-    const { reign } = this;
-    if (!reign || !this.leadership.mayAnswer) return null;
-    const answer = reign.report(report);
-    return reign.over ? null : answer;
+    const { leaderTerm } = this;
+    if (!leaderTerm || !this.leadership.mayAnswer) return null;
+    const answer = leaderTerm.report(report);
+    return leaderTerm.over ? null : answer;
   }
 
   #report(req: number, report: Report, raw: unknown): void {
@@ -349,7 +349,7 @@
       const { session, sequence } = report;
       this.#newest.set(report.machine, { session, sequence });
       this.#reporters.set(report.machine, this.ctx.now);
-    } else if (!this.reign) {
+    } else if (!this.leaderTerm) {
       this.ctx.emit({ t: "reportAnswer", req, answer: { t: "later" } });
       return;
     }
@@ -461,21 +461,21 @@
   }
 
   status(): Record<string, unknown> {
-    const { reign } = this;
+    const { leaderTerm } = this;
     const base = {
       node: this.ctx.deployment.node,
       leader: this.leaderName,
       ready: this.ready,
-      leading: reign !== null,
+      leading: leaderTerm !== null,
       peers: Object.fromEntries(
         [...this.#peers].map(([name, peer]) => [name, { link: peer.up, state_ok: peer.stateOk }]),
       ),
     };
-    if (!reign) return base;
-    const { tables } = reign;
+    if (!leaderTerm) return base;
+    const { tables } = leaderTerm;
     return {
       ...base,
-      token: reign.reigning.token,
+      token: leaderTerm.term.token,
       confirmed: this.leadership.confirmed,
       machines: [...tables.machines.values()].map((machine) => ({
         name: machine.name,
@@ -493,12 +493,12 @@
         .map((job) => ({ job: job.uid, tasks: job.pending, why: job.waitsFor ?? "it is next" })),
       awaiting: [...tables.jobs.values()]
         .filter((job) => job.state === "active" && !job.released)
-        .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: reign.pipelines.waitsFor(job) })),
+        .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: leaderTerm.pipelines.waitsFor(job) })),
       layout: this.view.layout,
-      move: reign.mover.pending,
-      moves: reign.mover.moves,
-      rounds_cut: reign.scheduler.roundsCut,
-      unwritten: reign.recorder.backlog,
+      move: leaderTerm.rebalancer.pending,
+      moves: leaderTerm.rebalancer.moves,
+      rounds_cut: leaderTerm.scheduler.roundsCut,
+      unwritten: leaderTerm.recorder.backlog,
     };
   }
 }
--- a/src/core/vain.ts
+++ b/src/core/failed-fits.ts
@@ -4,7 +4,7 @@
 import type { Amount } from "./types.js";
 
 /** Demands that found no place in this call: what asks for as much or more need not look again. */
-export class Vain {
+export class FailedFits {
   readonly #ctx: Context;
   readonly #byKind = new Map<string, { need: Amount; tasks: number }[]>();
 
--- a/src/core/feature-gate.ts
+++ b/src/core/feature-gate.ts
@@ -1,5 +1,5 @@
 import type { Context } from "./context.js";
-import type { Reigning } from "./leadership.js";
+import type { Term } from "./leadership.js";
 import { KEYS, PROTOCOL } from "./records.js";
 import type { ConfigView } from "./view.js";
 
@@ -13,13 +13,13 @@
 export class FeatureGate {
   readonly #ctx: Context;
   readonly #view: ConfigView;
-  readonly #leader: () => Reigning | null;
+  readonly #leader: () => Term | null;
   /** The protocol that each peer last said it speaks. */
   readonly #peers = new Map<string, number>();
   #writing = false;
   #retryAt = 0;
 
-  constructor(ctx: Context, view: ConfigView, leader: () => Reigning | null) {
+  constructor(ctx: Context, view: ConfigView, leader: () => Term | null) {
     this.#ctx = ctx;
     this.#view = view;
     this.#leader = leader;
@@ -45,14 +45,14 @@
   }
 
   open(why: string): void {
-    const reign = this.#leader();
+    const term = this.#leader();
     const { now } = this.#ctx;
-    if (this.isOpen || this.#writing || !reign || now < this.#retryAt || now >= reign.confirmedUntil) return;
+    if (this.isOpen || this.#writing || !term || now < this.#retryAt || now >= term.confirmedUntil) return;
     this.#writing = true;
     this.#retryAt = now + RETRY_MS;
     const value = { layout: PROTOCOL };
     const conditions = [
-      { key: KEYS.leader, version: reign.version },
+      { key: KEYS.leader, version: term.version },
       { key: KEYS.features, version: this.#view.featuresVersion },
     ];
     this.#ctx.state({ t: "txn", conditions, changes: [{ put: KEYS.features, value }] }, CALL_MS, (answer) => {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,6 @@
 import { add, ZERO } from "./amount.js";
 import type { Context } from "./context.js";
-import { DRIFT, type Leadership, type Reigning } from "./leadership.js";
+import { DRIFT, type Leadership, type Term } from "./leadership.js";
 import type { Recorder } from "./recorder.js";
 import { type Job, type Machine, type Placement, type Tables, tokenOf } from "./tables.js";
 import type { Cause, Order, Report, ReportAnswer, ReportedTask } from "./types.js";
@@ -31,7 +31,7 @@
 export class Fleet {
   readonly #ctx: Context;
   readonly #leadership: Leadership;
-  readonly #reign: Reigning;
+  readonly #term: Term;
   readonly #tables: Tables;
   readonly #recorder: Recorder;
   readonly #events: FleetEvents;
@@ -46,14 +46,14 @@
   constructor(
     ctx: Context,
     leadership: Leadership,
-    reign: Reigning,
+    term: Term,
     tables: Tables,
     recorder: Recorder,
     events: FleetEvents,
   ) {
     this.#ctx = ctx;
     this.#leadership = leadership;
-    this.#reign = reign;
+    this.#term = term;
     this.#tables = tables;
     this.#recorder = recorder;
     this.#events = events;
@@ -62,12 +62,12 @@
   /** A report that this node answers as leader. */
   answer(report: Report): ReportAnswer {
     const machine = this.#take(report, false);
-    if (!machine || this.#leadership.reign !== this.#reign) return { t: "later" };
+    if (!machine || this.#leadership.term !== this.#term) return { t: "later" };
     // Every answer renews the lease, also one to a report that a direct answer has overtaken.
     machine.answeredAt = this.#ctx.now;
     const orders = this.loaded ? this.#ordersFor(machine) : [];
     if (this.#owes(machine)) machine.owedSince ??= this.#ctx.now;
-    return { t: "orders", token: this.#reign.token, orders };
+    return { t: "orders", token: this.#term.token, orders };
   }
 
   doAnswered(id: number, report: Report | null, executed: boolean): void {
@@ -77,10 +77,10 @@
     machine.doInFlight = false;
     if (report && report.machine === machine.ix) {
       this.#take(report, true);
-      if (this.#leadership.reign !== this.#reign) return;
+      if (this.#leadership.term !== this.#term) return;
       // A refusal for another session executed nothing: show the token again, now that the session is known.
       if (!executed && machine.adoptedAt === null && report.session === machine.session) this.fence(machine);
-      if (executed) this.#hears(machine);
+      if (executed) this.#markReachable(machine);
     } else {
       machine.doRetryAt = this.#ctx.now + DO_RETRY_MS;
     }
@@ -94,7 +94,7 @@
     const { now } = this.#ctx;
     const name = this.#ctx.directory.machines.name(report.machine);
     this.#leadership.sawToken(report.token);
-    if (this.#leadership.reign !== this.#reign) return null;
+    if (this.#leadership.term !== this.#term) return null;
     // A copy that comes late, after its machine's release, must not bring the machine back.
     const known = this.#tables.machines.has(report.machine);
     if (!known && this.#tables.released.has(name)) return null;
@@ -112,9 +112,9 @@
       machine.sessionSince = now;
       // Its lease ran out although it was answered: the answers don't reach it.
       const answered = now - machine.answeredAt < this.#ctx.deployment.leaseS * 1000;
-      if (machine.session > 0 && answered) this.#deaf(machine, "its lease ran out under answers");
+      if (machine.session > 0 && answered) this.#markUnreachable(machine, "its lease ran out under answers");
     }
-    this.#judgeHearing(machine, report);
+    this.#judgeContact(machine, report);
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.token = report.token;
@@ -125,9 +125,9 @@
         this.#events.changed();
       }
     }
-    // Only a worker that carries a token of this reign has shut out all earlier leaders.
+    // Only a worker that carries a token of this term has shut out all earlier leaders.
     if (machine.adoptedAt === null) {
-      if (report.token >= this.#reign.firstToken) {
+      if (report.token >= this.#term.firstToken) {
         machine.adoptedAt = now;
         this.#toFence.delete(machine);
         this.#events.changed();
@@ -149,7 +149,7 @@
 
   /** Is there something that the next reports must show if the worker hears this node? */
   #owes(machine: Machine): boolean {
-    if (machine.report && machine.report.token < this.#reign.token) return true;
+    if (machine.report && machine.report.token < this.#term.token) return true;
     for (const p of machine.placements) if (p.seen === null && p.sentToken > 0) return true;
     return false;
   }
@@ -158,30 +158,30 @@
    * That a worker reports proves nothing of the other direction: only an effect in a later report does. Answers and
    * commands may be lost while reports arrive; such a machine would be given work for ever that never starts.
    */
-  #judgeHearing(machine: Machine, report: Report): void {
+  #judgeContact(machine: Machine, report: Report): void {
     const { now, deployment } = this.#ctx;
     const before = machine.report;
-    if (before && report.token > before.token) this.#hears(machine);
+    if (before && report.token > before.token) this.#markReachable(machine);
     if (machine.owedSince === null) return;
     const patienceMs = Math.max(OWED_MS, deployment.reportS * OWED_REPORTS * 1000);
-    if (now - machine.owedSince > patienceMs) this.#deaf(machine, "nothing sent to it shows");
+    if (now - machine.owedSince > patienceMs) this.#markUnreachable(machine, "nothing sent to it shows");
   }
 
-  #hears(machine: Machine): void {
+  #markReachable(machine: Machine): void {
     machine.owedSince = null;
-    if (machine.deafSince === null) return;
-    machine.deafSince = null;
+    if (machine.unreachableSince === null) return;
+    machine.unreachableSince = null;
     this.#toFence.delete(machine);
-    this.#ctx.log("info", "machine hears again", { machine: machine.name });
+    this.#ctx.log("info", "machine is reached again", { machine: machine.name });
     this.#events.changed();
   }
 
-  #deaf(machine: Machine, why: string): void {
-    // A harmless order now and then tells when it hears again.
+  #markUnreachable(machine: Machine, why: string): void {
+    // A harmless order now and then tells when it is reached again.
     if (machine.phase === "up") this.#toFence.add(machine);
-    if (machine.deafSince !== null) return;
-    machine.deafSince = this.#ctx.now;
-    this.#ctx.log("info", "machine does not hear", { machine: machine.name, why });
+    if (machine.unreachableSince !== null) return;
+    machine.unreachableSince = this.#ctx.now;
+    this.#ctx.log("info", "machine can't be reached", { machine: machine.name, why });
   }
 
   /** Compares what a worker reports with what is placed there. */
@@ -231,16 +231,16 @@
     );
   }
 
-  /** A placement of this reign whose start was never sent is not absent: it is yet to be started. */
+  /** A placement of this term whose start was never sent is not absent: it is yet to be started. */
   #sentOrInherited(placement: Placement): boolean {
-    return placement.sentToken > 0 || tokenOf(placement.attempt) < this.#reign.firstToken;
+    return placement.sentToken > 0 || tokenOf(placement.attempt) < this.#term.firstToken;
   }
 
   #seen(placement: Placement, entry: ReportedTask): void {
     const { now } = this.#ctx;
     const before = placement.seen;
     placement.seen = entry.state;
-    if (before === null && placement.sentToken > 0) this.#hears(placement.machine);
+    if (before === null && placement.sentToken > 0) this.#markReachable(placement.machine);
     if (entry.state === "ended") {
       this.#gone(placement, entry.cause ?? "error");
       return;
@@ -296,7 +296,7 @@
     const { now } = this.#ctx;
     const { report } = machine;
     const starting = this.#leadership.confirmed;
-    const { token } = this.#reign;
+    const { token } = this.#term;
     for (const placement of machine.placements) {
       if (!placement.durable || placement.session !== machine.session) continue;
       const { job, task, attempt } = placement;
@@ -331,7 +331,7 @@
   }
 
   #isStale({ attempt }: Placement): boolean {
-    return tokenOf(attempt) >= this.#reign.firstToken && tokenOf(attempt) < this.#reign.token;
+    return tokenOf(attempt) >= this.#term.firstToken && tokenOf(attempt) < this.#term.token;
   }
 
   /** Starts under way that a raised token would cut off. */
@@ -339,7 +339,7 @@
     for (const machine of this.#tables.machines.values()) {
       if (machine.lost || machine.phase !== "up") continue;
       for (const p of machine.placements)
-        if (p.seen === null && tokenOf(p.attempt) === this.#reign.token) return true;
+        if (p.seen === null && tokenOf(p.attempt) === this.#term.token) return true;
     }
     return false;
   }
@@ -357,7 +357,7 @@
         orders.push({ op: "stop", job: ix, task, attempt, graceS: 0 });
       } else if (
         tokenOf(attempt) < machine.token &&
-        machine.token === this.#reign.token &&
+        machine.token === this.#term.token &&
         !(job && this.#recorder.isDirty(job, task))
       ) {
         // Repeats of starts that were carried out may arrive late; this worker refuses them by their token.
@@ -368,7 +368,7 @@
 
   /** Asks for a task to be stopped; one that was never sent, on record or not, is simply taken back. */
   stop(placement: Placement, graceS: number, why: string): void {
-    if (placement.sentToken === 0 && tokenOf(placement.attempt) >= this.#reign.firstToken) {
+    if (placement.sentToken === 0 && tokenOf(placement.attempt) >= this.#term.firstToken) {
       this.#tables.unplace(placement, this.#ctx.now);
       this.#recorder.touch(placement.job, placement.task, false);
       this.#events.gone(placement, "stopped");
@@ -414,7 +414,7 @@
     if (this.#toFence.size === 0) return;
     const { now, deployment } = this.#ctx;
     // A restarted controller with a fleet to hear has no time for what the next reports bring by themselves.
-    if (now - this.#reign.since < deployment.reportS * FENCE_REPORTS * 1000) return;
+    if (now - this.#term.since < deployment.reportS * FENCE_REPORTS * 1000) return;
     const due = [...this.#toFence]
       .sort((a, b) => b.placements.size - a.placements.size)
       .slice(0, FENCES_A_TICK);
@@ -434,7 +434,7 @@
       id,
       machine: machine.ix,
       address: machine.address,
-      token: this.#reign.token,
+      token: this.#term.token,
       session,
       orders,
     });
@@ -449,7 +449,7 @@
     if (machine.adoptedAt !== null) return Math.max(heard, machine.adoptedAt) + leaseMs;
     // Not adopted: an earlier leader may have answered it up to the end of its hold. Also where this node follows an
     // earlier incarnation of itself: the leader before that one may still be in its hold.
-    return Math.max(this.#reign.formerUntil, heard) + leaseMs;
+    return Math.max(this.#term.formerUntil, heard) + leaseMs;
   }
 
   /** Each tick: the next few workers that are to be shown the token. */
--- a/src/core/stock.ts
+++ b/src/core/gpu-reserve.ts
@@ -29,7 +29,7 @@
  * How many machines with GPUs to keep. They are dear, and a new one takes longer to boot and fetch its image
  * than work can wait: so as many are kept free as is likely to be asked for meanwhile, and the rest is returned.
  */
-export class Stock {
+export class GpuReserve {
   readonly #ctx: Context;
   readonly #tables: Tables;
   readonly #scheduler: Scheduler;
@@ -108,7 +108,7 @@
     const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * Math.sqrt(likely));
     this.#scheduler.leaveRoom(type.name, kind.need, spare);
     let waiting = 0;
-    // What the hirer would rent for small work is not given back while such work waits: that was a wheel of
+    // What the provisioner would rent for small work is not given back while such work waits: that was a wheel of
     // spot machines hired, charged their minute, and returned.
     let wanted = false;
     let wantedSpot = false;
@@ -135,7 +135,7 @@
     const keep = this.#ceased(kind) ? inUse : Math.max(...kind.needed.map((n) => n.count));
     const young = this.#ctx.now - this.#startedAt < settings.spare_window_s * 1000;
     let surplus = wanted || young ? 0 : machines.length - keep;
-    this.#ctx.log("debug", "stock", {
+    this.#ctx.log("debug", "gpu reserve", {
       type: type.name,
       machines: machines.length,
       busy: machines.filter(busy).length,
--- a/src/core/reign.ts
+++ b/src/core/leader-term.ts
@@ -1,11 +1,11 @@
 import type { Budget, Context } from "./context.js";
 import type { FeatureGate } from "./feature-gate.js";
 import { Fleet } from "./fleet.js";
-import { Hirer } from "./hirer.js";
-import type { Leadership, Reigning } from "./leadership.js";
+import type { Leadership, Term } from "./leadership.js";
 import { bytesOf } from "./limits.js";
-import { Mover } from "./mover.js";
 import { Pipelines } from "./pipelines.js";
+import { Provisioner } from "./provisioner.js";
+import { Rebalancer } from "./rebalancer.js";
 import { Recorder } from "./recorder.js";
 import { KEYS, readBucket, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
@@ -29,14 +29,14 @@
 type Row = readonly [string, number, number];
 
 /** One time in office: the leader's tables and all that works on them. It is dropped whole when it ends. */
-export class Reign {
-  readonly reigning: Reigning;
+export class LeaderTerm {
+  readonly term: Term;
   readonly tables: Tables;
   readonly recorder: Recorder;
   readonly fleet: Fleet;
   readonly scheduler: Scheduler;
-  readonly hirer: Hirer;
-  readonly mover: Mover;
+  readonly provisioner: Provisioner;
+  readonly rebalancer: Rebalancer;
   readonly pipelines: Pipelines;
   over = false;
   /** Every change of a job's key before this time has been applied here; null before the records are read. */
@@ -54,14 +54,14 @@
   #told = new Map<string, string>();
   #writingTypes = false;
 
-  constructor(ctx: Context, view: ConfigView, leadership: Leadership, reigning: Reigning, gate: FeatureGate) {
+  constructor(ctx: Context, view: ConfigView, leadership: Leadership, term: Term, gate: FeatureGate) {
     this.#ctx = ctx;
     this.#view = view;
     this.#leadership = leadership;
-    this.reigning = reigning;
+    this.term = term;
     this.tables = new Tables(ctx.directory);
     this.tables.setTypes(view.types);
-    this.recorder = new Recorder(ctx, reigning, this.tables, view.move?.version ?? 0, {
+    this.recorder = new Recorder(ctx, term, this.tables, view.move?.version ?? 0, {
       recorded: (placements) => this.#recorded(placements),
       jobChanged: (job) => this.#reread(job),
       finished: (job) => this.#finished(job),
@@ -73,18 +73,24 @@
       released: (job) => this.#released(job),
       cancelled: (job) => this.#cancelled(job),
     });
-    this.fleet = new Fleet(ctx, leadership, reigning, this.tables, this.recorder, {
+    this.fleet = new Fleet(ctx, leadership, term, this.tables, this.recorder, {
       gone: (placement, cause) => this.#gone(placement, cause),
       started: (placement) => this.#started(placement),
       changed: () => {
         this.#dirty = true;
       },
     });
-    this.scheduler = new Scheduler(ctx, reigning, this.tables, this.fleet, this.recorder);
-    this.hirer = new Hirer(ctx, reigning, this.tables, this.fleet, this.recorder, this.scheduler, (types) =>
-      this.#typesRead(types),
+    this.scheduler = new Scheduler(ctx, term, this.tables, this.fleet, this.recorder);
+    this.provisioner = new Provisioner(
+      ctx,
+      term,
+      this.tables,
+      this.fleet,
+      this.recorder,
+      this.scheduler,
+      (types) => this.#typesRead(types),
     );
-    this.mover = new Mover(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
+    this.rebalancer = new Rebalancer(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
     this.#load();
   }
 
@@ -173,14 +179,14 @@
       if (job.state === "cancelled") this.#stopAll(job);
       this.#finishIfOver(job);
     }
-    this.mover.inherit(this.#view.move);
+    this.rebalancer.inherit(this.#view.move);
     this.#dirty = true;
     this.#ctx.log("info", "leader ready", {
-      token: this.reigning.token,
+      token: this.term.token,
       jobs: this.tables.jobs.size,
       machines: this.tables.machines.size,
       placements: held,
-      after_ms: Math.round(now - this.reigning.since),
+      after_ms: Math.round(now - this.term.since),
     });
   }
 
@@ -398,7 +404,7 @@
         if (!other.stop) this.fleet.stop(other, 0, "its gang is broken");
       }
     }
-    if (!this.mover.gone(placement)) this.#finishIfOver(job);
+    if (!this.rebalancer.gone(placement)) this.#finishIfOver(job);
   }
 
   /**
@@ -442,8 +448,8 @@
       this.fleet.tick();
       this.#drainNoticed();
       if (this.over) return;
-      this.hirer.tick(this.#leadership.confirmed);
-      if (this.#leadership.confirmed) this.mover.tick();
+      this.provisioner.tick(this.#leadership.confirmed);
+      if (this.#leadership.confirmed) this.rebalancer.tick();
     }
     this.#decide(budget);
     if (now - this.#progressAt >= PROGRESS_MS) this.#tellProgress();
@@ -525,7 +531,7 @@
     }
     this.#writingTypes = true;
     const conditions = [
-      { key: KEYS.leader, version: this.reigning.version },
+      { key: KEYS.leader, version: this.term.version },
       { key: KEYS.types, version: this.#view.typesVersion },
     ];
     const changes = [{ put: KEYS.types, value: types }];
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -15,13 +15,13 @@
 /** What a worker may take to end its tasks when its lease is over, and a user's answer to arrive early. */
 const CANCEL_MARGIN_MS = 2500;
 
-export type Standing =
+export type LeadershipState =
   | { readonly t: "follower" }
-  | { readonly t: "standing"; readonly since: number }
-  | { readonly t: "leader"; readonly reign: Reigning };
+  | { readonly t: "candidate"; readonly since: number }
+  | { readonly t: "leader"; readonly term: Term };
 
 /** The facts of one time in office. */
-export interface Reigning {
+export interface Term {
   readonly grant: number;
   /** Raised now and then by the leader itself; everything sent carries it. */
   token: number;
@@ -36,7 +36,7 @@
 }
 
 export interface LeadershipEvents {
-  elected(reign: Reigning): void;
+  elected(term: Term): void;
   deposed(why: string): void;
   startsUnderWay(): boolean;
   /** Every cancellation confirmed before this time is applied here; null before the records are read. */
@@ -54,17 +54,17 @@
   readonly #view: ConfigView;
   readonly #events: LeadershipEvents;
   readonly #incarnation: string;
-  standing: Standing = { t: "follower" };
-  #standAt = 0;
+  state: LeadershipState = { t: "follower" };
+  #runAt = 0;
   #renewing = false;
   #renewedAt = 0;
   #raising = false;
   #raisedAt = 0;
   /** The highest token this node has seen anywhere. */
   highestSeen = 0;
-  /** The last token of this process's own last reign, and until when it, or any before it, may have answered workers. */
+  /** The last token of this process's own last term, and until when it, or any before it, may have answered workers. */
   #own: { readonly token: number; readonly until: number } | null = null;
-  /** Peers that have shown a token of this reign. */
+  /** Peers that have shown a token of this term. */
   readonly #shown = new Set<string>();
 
   constructor(ctx: Context, view: ConfigView, incarnation: string, events: LeadershipEvents) {
@@ -74,13 +74,13 @@
     this.#events = events;
   }
 
-  get reign(): Reigning | null {
-    return this.standing.t === "leader" ? this.standing.reign : null;
+  get term(): Term | null {
+    return this.state.t === "leader" ? this.state.term : null;
   }
 
   get confirmed(): boolean {
-    const reign = this.reign;
-    return reign !== null && this.#ctx.now < reign.confirmedUntil;
+    const term = this.term;
+    return term !== null && this.#ctx.now < term.confirmedUntil;
   }
 
   /**
@@ -135,29 +135,29 @@
 
   /** May reports be answered, and so leases renewed? Before the records are read, nothing is known of cancellations. */
   get mayAnswer(): boolean {
-    const { reign } = this;
+    const { term } = this;
     const { now } = this.#ctx;
-    return reign !== null && now < reign.confirmedUntil + this.holdNowMs() && now < this.#ignorantUntil;
+    return term !== null && now < term.confirmedUntil + this.holdNowMs() && now < this.#ignorantUntil;
   }
 
-  /** A higher token seen anywhere ends this reign. */
+  /** A higher token seen anywhere ends this term. */
   sawToken(token: number): void {
     if (token > this.highestSeen) this.highestSeen = token;
-    const reign = this.reign;
-    if (reign && token > reign.token && !this.#raising) this.stepDown("a higher token was seen");
+    const term = this.term;
+    if (term && token > term.token && !this.#raising) this.stepDown("a higher token was seen");
   }
 
   /**
-   * A node that has seen this reign's token answers no worker under an older one, nor will any later process of it: once
+   * A node that has seen this term's token answers no worker under an older one, nor will any later process of it: once
    * every peer has, there is no former leader's hold to be waited out. A cut-off peer is, for as long as it may hold.
    */
   peerShows(node: string, token: number): void {
-    const { reign } = this;
-    if (!reign || token < reign.firstToken || this.#shown.has(node)) return;
+    const { term } = this;
+    if (!term || token < term.firstToken || this.#shown.has(node)) return;
     this.#shown.add(node);
     const { peers } = this.#ctx.deployment;
     if (peers.every((peer) => this.#shown.has(peer)))
-      reign.formerUntil = Math.min(reign.formerUntil, this.#ctx.now);
+      term.formerUntil = Math.min(term.formerUntil, this.#ctx.now);
   }
 
   /**
@@ -172,62 +172,62 @@
   }
 
   stepDown(why: string): void {
-    if (this.standing.t !== "leader") return;
-    const { reign } = this.standing;
-    this.#own = { token: reign.token, until: Math.max(reign.formerUntil, this.#ctx.now) };
-    this.standing = { t: "follower" };
-    this.#standAt = this.#ctx.now + 500;
+    if (this.state.t !== "leader") return;
+    const { term } = this.state;
+    this.#own = { token: term.token, until: Math.max(term.formerUntil, this.#ctx.now) };
+    this.state = { t: "follower" };
+    this.#runAt = this.#ctx.now + 500;
     this.#events.deposed(why);
   }
 
   /** Gives the office up for others to take, and stays out of the race for a while. */
   handOver(why: string): void {
-    const { reign } = this;
-    if (!reign) return;
-    this.#ctx.state({ t: "drop", grant: reign.grant }, CALL_MS, () => {});
+    const { term } = this;
+    if (!term) return;
+    this.#ctx.state({ t: "drop", grant: term.grant }, CALL_MS, () => {});
     this.stepDown(why);
-    this.#standAt = this.#ctx.now + STAY_OUT_MS;
+    this.#runAt = this.#ctx.now + STAY_OUT_MS;
   }
 
   configChanged(key: string): void {
-    const reign = this.reign;
-    if (key === KEYS.leader && reign) {
+    const term = this.term;
+    if (key === KEYS.leader && term) {
       const held = this.#view.leader;
-      if (held && held.version > reign.version) this.stepDown("another leader is recorded");
+      if (held && held.version > term.version) this.stepDown("another leader is recorded");
       else if (held === null) this.stepDown("the leader key is gone");
     }
     // The key is gone: stand soon, but not all nodes in the same moment.
-    if (key === KEYS.leader && !this.#view.leader && this.standing.t === "follower") {
-      this.#standAt = Math.max(this.#standAt, this.#ctx.now + int(this.#ctx.random, 0, 150));
+    if (key === KEYS.leader && !this.#view.leader && this.state.t === "follower") {
+      this.#runAt = Math.max(this.#runAt, this.#ctx.now + int(this.#ctx.random, 0, 150));
     }
   }
 
   tick(): void {
-    const { standing } = this;
-    switch (standing.t) {
+    const { state } = this;
+    switch (state.t) {
       case "follower":
-        this.#maybeStand();
+        this.#maybeRun();
         break;
-      case "standing":
+      case "candidate":
         break;
       case "leader":
-        this.#reignOn(standing.reign);
+        this.#lead(state.term);
         break;
     }
   }
 
-  #maybeStand(): void {
+  #maybeRun(): void {
     const { now } = this.#ctx;
-    if (!this.#view.loaded || now < this.#standAt || this.#ctx.stateFailingSince !== null) return;
+    if (!this.#view.loaded || now < this.#runAt || this.#ctx.stateFailingSince !== null) return;
     const held = this.#view.leader;
     const own = held !== null && held.value.node === this.#ctx.deployment.node;
     if (held && !(own && held.value.incarnation !== this.#incarnation)) return;
-    this.#stand(held ? held.version : 0);
+    this.#runForLeader(held ? held.version : 0);
   }
 
-  #stand(leaderVersion: number): void {
+  #runForLeader(leaderVersion: number): void {
     const ctx = this.#ctx;
-    this.standing = { t: "standing", since: ctx.now };
+    this.state = { t: "candidate", since: ctx.now };
     const asked = ctx.now;
     const lifeMs = ctx.settings.leader_grant_ms;
     ctx.state({ t: "grant", lifeMs }, CALL_MS, (granted) => {
@@ -261,7 +261,7 @@
             return;
           }
           const version = answer.revision;
-          const reign: Reigning = {
+          const term: Term = {
             grant,
             token,
             firstToken: token,
@@ -272,28 +272,28 @@
             formerUntil: this.#formerUntil(token),
           };
           this.#shown.clear();
-          this.standing = { t: "leader", reign };
+          this.state = { t: "leader", term };
           this.#renewedAt = asked;
           this.#raisedAt = ctx.now;
           this.highestSeen = Math.max(this.highestSeen, token);
           this.#view.note({ key: KEYS.leader, value: record, version });
           this.#view.note({ key: KEYS.epoch, value: { token }, version });
-          this.#events.elected(reign);
+          this.#events.elected(term);
         },
       );
     });
   }
 
   #lost(why: string): void {
-    this.standing = { t: "follower" };
-    this.#standAt = this.#ctx.now + int(this.#ctx.random, 200, 600);
+    this.state = { t: "follower" };
+    this.#runAt = this.#ctx.now + int(this.#ctx.random, 200, 600);
     this.#ctx.log("debug", "did not become leader", { why });
     this.#view.refresh();
   }
 
-  #reignOn(reign: Reigning): void {
+  #lead(term: Term): void {
     const ctx = this.#ctx;
-    if (ctx.now >= reign.confirmedUntil + this.holdNowMs()) {
+    if (ctx.now >= term.confirmedUntil + this.holdNowMs()) {
       this.stepDown("unconfirmed for too long");
       return;
     }
@@ -304,10 +304,10 @@
       return;
     }
     const lifeMs = ctx.settings.leader_grant_ms;
-    if (!this.#renewing && ctx.now - this.#renewedAt >= lifeMs / 4) this.#renew(reign, lifeMs);
+    if (!this.#renewing && ctx.now - this.#renewedAt >= lifeMs / 4) this.#renew(term, lifeMs);
     if (
       !this.#raising &&
-      ctx.now < reign.confirmedUntil &&
+      ctx.now < term.confirmedUntil &&
       ctx.now - this.#raisedAt >= ctx.settings.token_raise_s * 1000 &&
       // Starts under way would have to begin anew, so they are let through first, within reason.
       (!this.#events.startsUnderWay() || ctx.now - this.#raisedAt >= ctx.settings.token_raise_s * 2000)
@@ -316,60 +316,60 @@
     }
   }
 
-  #renew(reign: Reigning, lifeMs: number): void {
+  #renew(term: Term, lifeMs: number): void {
     const ctx = this.#ctx;
     const asked = ctx.now;
     this.#renewing = true;
     this.#renewedAt = asked;
-    ctx.state({ t: "renew", grant: reign.grant }, CALL_MS, (answer) => {
+    ctx.state({ t: "renew", grant: term.grant }, CALL_MS, (answer) => {
       this.#renewing = false;
-      if (this.reign !== reign) return;
-      if (answer.t === "ok") reign.confirmedUntil = asked + lifeMs / DRIFT - MARGIN_MS;
+      if (this.term !== term) return;
+      if (answer.t === "ok") term.confirmedUntil = asked + lifeMs / DRIFT - MARGIN_MS;
       else if (answer.t === "absent") this.stepDown("the grant is gone");
     });
   }
 
   /**
-   * Raises the token within the reign. What was sent under the former one can no longer be executed
+   * Raises the token within the term. What was sent under the former one can no longer be executed
    * by a worker that has seen the new one, which is what makes clearing ended attempts safe.
    */
   raiseToken(): void {
     const ctx = this.#ctx;
-    const { reign } = this;
-    if (!reign || this.#raising || !this.confirmed) return;
+    const { term } = this;
+    if (!term || this.#raising || !this.confirmed) return;
     this.#raising = true;
     this.#raisedAt = ctx.now;
-    const token = reign.token + 1;
+    const token = term.token + 1;
     ctx.state(
       {
         t: "txn",
         conditions: [
-          { key: KEYS.leader, version: reign.version },
-          { key: KEYS.epoch, version: reign.epochVersion },
+          { key: KEYS.leader, version: term.version },
+          { key: KEYS.epoch, version: term.epochVersion },
         ],
         changes: [{ put: KEYS.epoch, value: { token } }],
       },
       CALL_MS,
       (answer) => {
-        if (this.reign !== reign) {
+        if (this.term !== term) {
           this.#raising = false;
           return;
         }
         if (answer.t === "ok") {
           this.#raising = false;
-          this.#advance(reign, token, answer.revision);
+          this.#advance(term, token, answer.revision);
         } else if (answer.t === "refused" || answer.t === "throttled") {
           this.#raising = false;
         } else {
-          this.#reread(reign);
+          this.#reread(term);
         }
       },
     );
   }
 
-  #advance(reign: Reigning, token: number, version: number): void {
-    reign.token = token;
-    reign.epochVersion = version;
+  #advance(term: Term, token: number, version: number): void {
+    term.token = token;
+    term.epochVersion = version;
     this.highestSeen = Math.max(this.highestSeen, token);
     this.#view.note({ key: KEYS.epoch, value: { token }, version });
   }
@@ -378,20 +378,20 @@
    * The raise may have been executed without our knowing, so the key is read before deciding. While the
    * leader key is ours nobody else can have raised it: a higher value under it is our own.
    */
-  #reread(reign: Reigning): void {
+  #reread(term: Term): void {
     const ctx = this.#ctx;
     ctx.state({ t: "list", prefix: KEYS.config, after: null }, CALL_MS, (answer) => {
       this.#raising = false;
-      if (this.reign !== reign || answer.t !== "page") return;
+      if (this.term !== term || answer.t !== "page") return;
       const leader = answer.items.find((item) => item.key === KEYS.leader);
       const epoch = answer.items.find((item) => item.key === KEYS.epoch);
-      if (leader?.version !== reign.version) {
+      if (leader?.version !== term.version) {
         this.stepDown("another leader is recorded");
         return;
       }
       const token = (epoch?.value as { token?: unknown } | undefined)?.token;
-      if (epoch && typeof token === "number" && token >= reign.token) {
-        this.#advance(reign, token, epoch.version);
+      if (epoch && typeof token === "number" && token >= term.token) {
+        this.#advance(term, token, epoch.version);
       }
     });
   }
--- a/src/core/names.ts
+++ b/src/core/names.ts
@@ -1,6 +1,6 @@
 /**
  * Maps names to dense indices. A freed index is given out again only two batches later: until then
- * commands that were mapped at the door before it was freed may still carry it.
+ * commands that were mapped at the boundary before it was freed may still carry it.
  */
 export class Names {
   readonly #index = new Map<string, number>();
@@ -49,7 +49,7 @@
   }
 }
 
-/** The name tables that the door and the core share. */
+/** The name tables that the boundary and the core share. */
 export class Directory {
   readonly jobs = new Names();
   readonly machines = new Names();
--- a/src/core/hirer.ts
+++ b/src/core/provisioner.ts
@@ -1,10 +1,10 @@
 import { fits, times } from "./amount.js";
 import type { Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
-import type { Reigning } from "./leadership.js";
+import { GpuReserve } from "./gpu-reserve.js";
+import type { Term } from "./leadership.js";
 import type { Recorder } from "./recorder.js";
 import type { Blocked, Scheduler } from "./scheduler.js";
-import { Stock } from "./stock.js";
 import { type Job, type Machine, suitsType, type Tables } from "./tables.js";
 import type { ListedMachine, MachineType } from "./types.js";
 
@@ -30,7 +30,7 @@
   readonly spot: boolean;
 }
 
-interface Hire {
+interface RentalRequest {
   readonly offer: Offer;
   readonly count: number;
   readonly request: string;
@@ -38,21 +38,21 @@
 }
 
 /** Rents machines for what finds no place, and gives back what is idle, stuck or broken. */
-export class Hirer {
+export class Provisioner {
   readonly #ctx: Context;
-  readonly #reign: Reigning;
+  readonly #term: Term;
   readonly #tables: Tables;
   readonly #fleet: Fleet;
   readonly #recorder: Recorder;
   readonly #scheduler: Scheduler;
   readonly #refused = new Map<string, { until: number; waitMs: number }>();
-  readonly #hiring = new Map<string, Hire>();
+  readonly #hiring = new Map<string, RentalRequest>();
   /** Machines of each type that are there or have been asked for, as of this round of hiring. */
   #counts = new Map<string, number>();
-  readonly #stock: Stock;
+  readonly #gpuReserve: GpuReserve;
   readonly #typesRead: (types: readonly MachineType[]) => void;
   /** Requests that got no answer, to be repeated under their names. */
-  readonly #unanswered: { at: number; hire: Hire }[] = [];
+  readonly #unanswered: { at: number; hire: RentalRequest }[] = [];
   #requests = 0;
   /** Zones that are, or were just now, cut off. */
   readonly #cutUntil = new Map<string, number>();
@@ -60,12 +60,12 @@
   #listedAt = Number.NEGATIVE_INFINITY;
   #typesAt = Number.NEGATIVE_INFINITY;
   #releasing = false;
-  /** No hiring before the first full list of this reign: machines an earlier leader rented count too. */
+  /** No hiring before the first full list of this term: machines an earlier leader rented count too. */
   #listedOnce = false;
 
   constructor(
     ctx: Context,
-    reign: Reigning,
+    term: Term,
     tables: Tables,
     fleet: Fleet,
     recorder: Recorder,
@@ -73,20 +73,20 @@
     typesRead: (types: readonly MachineType[]) => void,
   ) {
     this.#ctx = ctx;
-    this.#reign = reign;
+    this.#term = term;
     this.#tables = tables;
     this.#fleet = fleet;
     this.#recorder = recorder;
     this.#scheduler = scheduler;
     this.#typesRead = typesRead;
-    this.#stock = new Stock(ctx, tables, scheduler);
+    this.#gpuReserve = new GpuReserve(ctx, tables, scheduler);
   }
 
   tick(confirmed: boolean): void {
     const { now } = this.#ctx;
     if (!this.#listing && now - this.#listedAt >= LIST_MS) this.#list();
     if (now - this.#typesAt >= (this.#tables.types.size === 0 ? 1000 : TYPES_MS)) this.#readTypes();
-    this.#stock.tick();
+    this.#gpuReserve.tick();
     this.#watchMachines();
     if (!confirmed) return;
     this.#askAgain();
@@ -153,7 +153,7 @@
     const up = [...this.#tables.machines.values()].filter((m) => m.phase === "up");
     const silentMs = deployment.reportS * 2600 + 700;
     const silent = up.filter((m) => now - m.heardAt > silentMs).length;
-    const deafFew = up.filter((m) => m.deafSince !== null).length <= Math.max(1, up.length / 3);
+    const fewUnreachable = up.filter((m) => m.unreachableSince !== null).length <= Math.max(1, up.length / 3);
     // When most are silent it is this node that is cut off, not the machines that are gone.
     const hearing = silent <= Math.max(1, up.length / 3);
     const cut = this.#cutZones(up);
@@ -168,15 +168,16 @@
         }
         case "up": {
           // A new leader counts from its beginning: machines it has never heard may be in a zone that is cut off.
-          const quiet = now - Math.max(machine.heardAt, this.#reign.since);
+          const quiet = now - Math.max(machine.heardAt, this.#term.since);
           if (machine.placements.size > 0 || machine.strayUse.cpu > 0) machine.idleSince = null;
           else machine.idleSince ??= now;
           // A zone that is cut off comes back with its machines and their images; given back they would have
           // to be rented, booted and filled anew, spot ones first, which were taken for taken back.
           if (!hearing || (cut.has(machine.zone) && quiet < CUT_PATIENCE_MS)) break;
           const noticed = machine.noticeUntil !== null && now > machine.noticeUntil;
-          const deafMs = machine.deafSince === null || !deafFew ? 0 : now - machine.deafSince;
-          if (deafMs > deployment.leaseS * 2000) this.#giveUp(machine, "it does not hear");
+          const unreachableMs =
+            machine.unreachableSince === null || !fewUnreachable ? 0 : now - machine.unreachableSince;
+          if (unreachableMs > deployment.leaseS * 2000) this.#giveUp(machine, "it can't be reached");
           else if (machine.lost && quiet > deployment.leaseS * 2000) this.#giveUp(machine, "silent");
           else if (quiet > silentMs && (machine.spot || noticed)) {
             this.#giveUp(machine, "taken back");
@@ -286,7 +287,7 @@
         const offer = this.#cheapest(job, zone, slots, now);
         if (!offer) break;
         const per = times(job.spec.need, offer.type.size);
-        const room = job.spec.need.gpu > 0 ? this.#stock.mostAtOnce(offer.type) : settings.max_machines;
+        const room = job.spec.need.gpu > 0 ? this.#gpuReserve.mostAtOnce(offer.type) : settings.max_machines;
         const count = Math.min(50, Math.ceil(slots / per), settings.max_machines - total, room);
         const key = keyOf(offer);
         const sum = wanted.get(key);
@@ -379,8 +380,11 @@
         for (const spot of [false, true]) {
           const offer = { type, zone: z, spot };
           if (!this.#offerSuits(job, offer)) continue;
-          if (this.#stock.tooDear(job, type, spot)) continue;
-          if (job.spec.need.gpu > 0 && (this.#counts.get(type.name) ?? 0) >= this.#stock.mostAtOnce(type))
+          if (this.#gpuReserve.tooDear(job, type, spot)) continue;
+          if (
+            job.spec.need.gpu > 0 &&
+            (this.#counts.get(type.name) ?? 0) >= this.#gpuReserve.mostAtOnce(type)
+          )
             continue;
           if ((this.#refused.get(keyOf(offer))?.until ?? 0) > now) continue;
           const price = spot ? type.spotPrice * SPOT_RISK : type.price;
@@ -412,13 +416,13 @@
     const key = keyOf(offer);
     if (this.#hiring.has(key)) return;
     // The token and a counter: a name that no other leader, nor this one, ever uses again.
-    const request = `r-${this.#reign.firstToken}-${++this.#requests}`;
-    const hire: Hire = { offer, count, request, tries: HIRE_TRIES };
+    const request = `r-${this.#term.firstToken}-${++this.#requests}`;
+    const hire: RentalRequest = { offer, count, request, tries: HIRE_TRIES };
     this.#hiring.set(key, hire);
     this.#ask(hire);
   }
 
-  #ask(hire: Hire): void {
+  #ask(hire: RentalRequest): void {
     const { offer, count, request } = hire;
     const { type, zone, spot } = offer;
     const key = keyOf(offer);
--- a/src/core/mover.ts
+++ b/src/core/rebalancer.ts
@@ -29,7 +29,7 @@
  * rules forbid it on two machines at once; so the target is booked first, the drain is waited out, and the
  * new copy is started at once when the old one is proved gone (docs/DESIGN.md).
  */
-export class Mover {
+export class Rebalancer {
   readonly #ctx: Context;
   readonly #tables: Tables;
   readonly #fleet: Fleet;
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,5 +1,5 @@
 import type { Context } from "./context.js";
-import type { Reigning } from "./leadership.js";
+import type { Term } from "./leadership.js";
 import { type Bucket, MachineRecords } from "./machine-records.js";
 import {
   type ChunkRecord,
@@ -75,7 +75,7 @@
  */
 export class Recorder {
   readonly #ctx: Context;
-  readonly #reign: Reigning;
+  readonly #term: Term;
   readonly #tables: Tables;
   readonly #events: RecorderEvents;
   readonly #chunks = new Map<string, DirtyChunk>();
@@ -98,10 +98,10 @@
   #allowanceAt: number;
   over = false;
 
-  constructor(ctx: Context, reign: Reigning, tables: Tables, moveVersion: number, events: RecorderEvents) {
+  constructor(ctx: Context, term: Term, tables: Tables, moveVersion: number, events: RecorderEvents) {
     this.#moveVersion = moveVersion;
     this.#ctx = ctx;
-    this.#reign = reign;
+    this.#term = term;
     this.#tables = tables;
     this.#events = events;
     this.machines = new MachineRecords(tables, () => ctx.limits.valueBytes);
@@ -173,7 +173,7 @@
 
   flush(): void {
     const ctx = this.#ctx;
-    if (this.over || this.#busy || ctx.now < this.#retryAt || ctx.now >= this.#reign.confirmedUntil) return;
+    if (this.over || this.#busy || ctx.now < this.#retryAt || ctx.now >= this.#term.confirmedUntil) return;
     this.#followLayout();
     const rate = ctx.limits.writeRps(ctx.now) * SHARE;
     this.#allowance = Math.min(rate, this.#allowance + ((ctx.now - this.#allowanceAt) * rate) / 1000);
@@ -216,7 +216,7 @@
 
   #build(room: number): Batch {
     const batch: Batch = {
-      conditions: [{ key: KEYS.leader, version: this.#reign.version }],
+      conditions: [{ key: KEYS.leader, version: this.#term.version }],
       changes: [],
       chunks: [],
       placements: [],
--- a/src/core/holds.ts
+++ b/src/core/reservations.ts
@@ -8,7 +8,7 @@
 const HOLD_MS = 2000;
 
 /** What is kept for gangs that wait: places in a zone, and what is left of a team's limit. */
-export class Holds {
+export class Reservations {
   readonly #ctx: Context;
 
   constructor(ctx: Context) {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,11 +1,12 @@
 import { add, fits, times, ZERO } from "./amount.js";
 import type { Budget, Context } from "./context.js";
+import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
-import { Holds } from "./holds.js";
-import type { Reigning } from "./leadership.js";
+import type { Term } from "./leadership.js";
 import { inOrder, isAged, isPatient, isPressed, waitAimS } from "./order.js";
 import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
+import { Reservations } from "./reservations.js";
 import {
   attemptOf,
   countersLeft,
@@ -16,7 +17,6 @@
   type Tables,
 } from "./tables.js";
 import type { Amount } from "./types.js";
-import { Vain } from "./vain.js";
 
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
@@ -45,7 +45,7 @@
 /** Decides what runs where: rounds over the waiting jobs that stop when their time is spent and go on later. */
 export class Scheduler {
   readonly #ctx: Context;
-  readonly #reign: Reigning;
+  readonly #term: Term;
   readonly #tables: Tables;
   readonly #fleet: Fleet;
   readonly #recorder: Recorder;
@@ -59,8 +59,8 @@
   #roomy = new Map<string, Machine[]>();
   /** The last job's choice of machines was narrowed by what is its own: its image, its patience, its failures. */
   #narrowed = false;
-  readonly #vain: Vain;
-  readonly #holds: Holds;
+  readonly #failedFits: FailedFits;
+  readonly #reservations: Reservations;
   readonly preemption: Preemption;
   /** Work of the last full round that found no place. */
   blocked: Blocked[] = [];
@@ -69,14 +69,14 @@
   /** Counts machines looked at for some job: what a round's work is made of. */
   looked = 0;
 
-  constructor(ctx: Context, reign: Reigning, tables: Tables, fleet: Fleet, recorder: Recorder) {
+  constructor(ctx: Context, term: Term, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
-    this.#reign = reign;
+    this.#term = term;
     this.#tables = tables;
     this.#fleet = fleet;
     this.#recorder = recorder;
-    this.#vain = new Vain(ctx);
-    this.#holds = new Holds(ctx);
+    this.#failedFits = new FailedFits(ctx);
+    this.#reservations = new Reservations(ctx);
     this.preemption = new Preemption(ctx, tables, fleet, (job, below) => this.#candidates(job, below));
   }
 
@@ -103,7 +103,7 @@
   #survey(queue: readonly Blocked[]): void {
     this.#open = new Map();
     this.#roomy = new Map();
-    this.#vain.clear();
+    this.#failedFits.clear();
     let [cpu, ram] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
     for (const { job } of queue) {
       cpu = Math.min(cpu, job.spec.need.cpu);
@@ -182,7 +182,7 @@
       if (allowed < job.spec.tasks) {
         this.#waits(job, "the limit of its team");
         // Smaller jobs would take each bit of the team's limit that comes free, for ever.
-        if (aged) this.#holds.holdLimit(job);
+        if (aged) this.#reservations.holdLimit(job);
         return;
       }
       this.#serveGang(entry);
@@ -205,10 +205,10 @@
     const { now } = this.#ctx;
     const withinS = waitAimS(this.#ctx, job);
     const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.since) / 1000;
-    const vain = this.#vain.has(job, job.spec.tasks);
+    const knownToFail = this.#failedFits.has(job, job.spec.tasks);
     if (leftS > 0) {
       const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
-      if (!vain && this.#placeGang(job, quick)) return;
+      if (!knownToFail && this.#placeGang(job, quick)) return;
       if ((job.awaitedUntil ?? 0) > now) return;
       if (
         job.awaitedUntil === null &&
@@ -218,9 +218,9 @@
         return;
       }
     }
-    if (!vain) {
+    if (!knownToFail) {
       if (this.#placeGang(job, () => true)) return;
-      if (!this.#narrowed) this.#vain.add(job, job.spec.tasks);
+      if (!this.#narrowed) this.#failedFits.add(job, job.spec.tasks);
     }
     this.#noPlace(entry, job.spec.tasks);
   }
@@ -235,14 +235,14 @@
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
     const aged = isAged(this.#ctx, job);
-    if (aged || isPressed(this.#ctx, job)) this.#holds.holdZone(job, aged, this.#candidates(job));
+    if (aged || isPressed(this.#ctx, job)) this.#reservations.holdZone(job, aged, this.#candidates(job));
   }
 
   /** How many more tasks of this job its team's limit allows. */
   withinLimit(job: Job): number {
     const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
     if (!team) return 0;
-    const use = add(this.#tables.teamUse.get(team.name) ?? ZERO, this.#holds.keptOfLimit(job));
+    const use = add(this.#tables.teamUse.get(team.name) ?? ZERO, this.#reservations.keptOfLimit(job));
     const { need } = job.spec;
     let n = Number.POSITIVE_INFINITY;
     if (need.cpu > 0) n = Math.min(n, Math.floor((team.limit.cpu - use.cpu) / need.cpu));
@@ -267,9 +267,9 @@
       !machine.lost &&
       machine.mode === "open" &&
       machine.type !== null &&
-      // A report without this reign's token may be a late copy: a hint of what is there, not a sign of life.
+      // A report without this term's token may be a late copy: a hint of what is there, not a sign of life.
       machine.adoptedAt !== null &&
-      machine.deafSince === null &&
+      machine.unreachableSince === null &&
       machine.noticeUntil === null &&
       machine.blockedUntil <= now &&
       now - machine.heardAt < deployment.reportS * 2500 + 500
@@ -404,7 +404,7 @@
     const leftS = withinS - (this.#ctx.wallMs - job.since) / 1000;
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
-    let placed = this.#vain.has(job, 1) ? 0 : this.#fill(job, count, quick);
+    let placed = this.#failedFits.has(job, 1) ? 0 : this.#fill(job, count, quick);
     if (placed < count && job.priority >= 2) {
       placed += this.preemption.makeRoom(job, count - placed, false, quick, Math.max(0, leftS));
     }
@@ -413,9 +413,9 @@
   }
 
   #fillAny(job: Job, count: number): number {
-    if (this.#vain.has(job, 1)) return 0;
+    if (this.#failedFits.has(job, 1)) return 0;
     const placed = this.#fill(job, count, () => true);
-    if (placed < count && !this.#narrowed) this.#vain.add(job, 1);
+    if (placed < count && !this.#narrowed) this.#failedFits.add(job, 1);
     return placed;
   }
 
@@ -486,10 +486,10 @@
     return true;
   }
 
-  /** Attempts are counted anew under each token, so that a long reign never runs out of them. */
+  /** Attempts are counted anew under each token, so that a long term never runs out of them. */
   #hasAttempts(): boolean {
-    if (this.#counterToken !== this.#reign.token) {
-      this.#counterToken = this.#reign.token;
+    if (this.#counterToken !== this.#term.token) {
+      this.#counterToken = this.#term.token;
       this.#counter = 0;
     }
     return countersLeft(this.#counter + 1);
@@ -498,7 +498,7 @@
   #attempt(): number {
     if (!this.#hasAttempts()) throw new RangeError("no attempts are left under this token");
     this.#counter++;
-    return attemptOf(this.#reign.token, this.#counter);
+    return attemptOf(this.#term.token, this.#counter);
   }
 
   /** Puts a task on a machine in the tables and has it recorded; it is started once that is done. */
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -209,7 +209,7 @@
   /** Since when something that was sent to it should have shown in its reports; null when nothing is owed. */
   owedSince: number | null = null;
   /** Since when it reports but shows no sign of hearing: it gets no work, and is replaced if this lasts. */
-  deafSince: number | null = null;
+  unreachableSince: number | null = null;
   /** When the present session was first heard of. */
   sessionSince = Number.NEGATIVE_INFINITY;
   /** Its lease has run out without a newer report: nothing of ours is on it, nothing is given to it. */
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -1,4 +1,4 @@
-/** The terms of the domain. Everything here is plain data; names have become dense indices at the door. */
+/** The terms of the domain. Everything here is plain data; names have become dense indices at the boundary. */
 
 export type Shape = "array" | "gang" | "service";
 /** Higher numbers win: 3 is production, 0 is idle. */
--- a/src/shell/api.ts
+++ b/src/shell/api.ts
@@ -10,7 +10,7 @@
 const REPORT_PATH = "/agent/beat";
 
 /** What the HTTP side asks of the loop. Each request is answered exactly once, through its callback. */
-export interface Desk {
+export interface RequestHandler {
   readonly ready: boolean;
   /** True when this node is so far behind that it must turn requests away. */
   readonly overloaded: boolean;
@@ -23,47 +23,47 @@
   metrics(): Promise<{ type: string; text: string }>;
 }
 
-export function createServer(desk: Desk, shares: SocketShares): http.Server {
+export function createServer(handler: RequestHandler, shares: SocketShares): http.Server {
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
   app.set("query parser", "simple");
 
   app.get("/ready", (_req, res) => {
-    if (desk.ready) json(res, 200, { ready: true });
+    if (handler.ready) json(res, 200, { ready: true });
     else json(res, 503, { ready: false });
   });
 
   const body = express.json({ limit: BODY_LIMIT, type: () => true, strict: false });
 
-  app.post("/api/jobs", shed(desk), body, (req, res) => {
+  app.post("/api/jobs", shed(handler), body, (req, res) => {
     const { uid, spec } = parseJob(req.body);
     if (uid === null) json(res, 400, { error: typeof spec === "string" ? spec : "uid: missing" });
-    else desk.submit(uid, spec, (answer) => reply(res, answer));
+    else handler.submit(uid, spec, (answer) => reply(res, answer));
   });
-  app.get("/api/jobs/:id", shed(desk), (req, res) => {
+  app.get("/api/jobs/:id", shed(handler), (req, res) => {
     const uid = req.params.id;
     if (typeof uid !== "string" || !isUid(uid)) json(res, 404, { error: "no such job" });
-    else desk.poll(uid, (answer) => reply(res, answer));
+    else handler.poll(uid, (answer) => reply(res, answer));
   });
-  app.post("/api/jobs/:id/cancel", shed(desk), (req, res) => {
+  app.post("/api/jobs/:id/cancel", shed(handler), (req, res) => {
     const uid = req.params.id;
     if (typeof uid !== "string" || !isUid(uid)) json(res, 404, { error: "no such job" });
-    else desk.cancel(uid, (answer) => reply(res, answer));
+    else handler.cancel(uid, (answer) => reply(res, answer));
   });
 
   app.get("/admin/status", (_req, res) => {
-    desk.admin({ t: "status" }, (answer) => replyAdmin(res, answer));
+    handler.admin({ t: "status" }, (answer) => replyAdmin(res, answer));
   });
   app.get("/admin/settings", (_req, res) => {
-    desk.admin({ t: "settings" }, (answer) => replyAdmin(res, answer));
+    handler.admin({ t: "settings" }, (answer) => replyAdmin(res, answer));
   });
   app.patch("/admin/settings", body, (req, res) => {
     const values: unknown = req.body;
     if (typeof values !== "object" || values === null || Array.isArray(values)) {
       json(res, 400, { error: "the body must be a JSON object of settings" });
     } else {
-      desk.admin({ t: "change", values: { ...values } }, (answer) => replyAdmin(res, answer));
+      handler.admin({ t: "change", values: { ...values } }, (answer) => replyAdmin(res, answer));
     }
   });
   app.put("/admin/machines/:name", body, (req, res) => {
@@ -72,11 +72,11 @@
     if (typeof name !== "string" || (mode !== "open" && mode !== "cordon" && mode !== "drain")) {
       json(res, 400, { error: "mode: must be open, cordon or drain" });
     } else {
-      desk.admin({ t: "machine", name, mode }, (answer) => replyAdmin(res, answer));
+      handler.admin({ t: "machine", name, mode }, (answer) => replyAdmin(res, answer));
     }
   });
   app.get("/metrics", async (_req, res) => {
-    const { type, text } = await desk.metrics();
+    const { type, text } = await handler.metrics();
     res.status(200).set("content-type", type).send(text);
   });
 
@@ -91,7 +91,7 @@
   const workers = new Set<Socket>();
   const server = http.createServer({ keepAliveTimeout: 75_000 }, (req, res) => {
     if (req.method !== "POST" || req.url !== REPORT_PATH) app(req, res);
-    else if (mayReport(workers, req.socket, shares.workersIn)) takeReport(desk, req, res);
+    else if (mayReport(workers, req.socket, shares.workersIn)) takeReport(handler, req, res);
     else {
       res.setHeader("connection", "close");
       json(res, 421, {});
@@ -117,7 +117,7 @@
  * Reports are nine requests in ten: express and its body parser took a sixth of a leader's processor time for them
  * (docs/RESULTS.md), so they are read here.
  */
-function takeReport(desk: Desk, req: http.IncomingMessage, res: http.ServerResponse): void {
+function takeReport(handler: RequestHandler, req: http.IncomingMessage, res: http.ServerResponse): void {
   const chunks: Buffer[] = [];
   let size = 0;
   req.on("data", (chunk: Buffer) => {
@@ -126,16 +126,16 @@
   });
   req.on("end", () => {
     const report = size <= BODY_LIMIT ? parseJson(Buffer.concat(chunks).toString("utf8")) : undefined;
-    if (!desk.report(report, (status, answer) => json(res, status, answer))) {
+    if (!handler.report(report, (status, answer) => json(res, status, answer))) {
       json(res, 400, { error: "not a report" });
     }
   });
 }
 
 /** Turned away before the body is read: what can't be taken is answered at once. */
-function shed(desk: Desk) {
+function shed(handler: RequestHandler) {
   return (_req: Request, res: Response, next: NextFunction) => {
-    if (desk.overloaded) retryLater(res, "overloaded", 2);
+    if (handler.overloaded) retryLater(res, "overloaded", 2);
     else next();
   };
 }
--- a/src/shell/loop.ts
+++ b/src/shell/loop.ts
@@ -14,7 +14,7 @@
   UserAnswer,
 } from "../core/types.js";
 import { decodeReport, encodeReportAnswer } from "../protocol/workers.js";
-import type { Desk } from "./api.js";
+import type { RequestHandler } from "./api.js";
 import type { Log } from "./log.js";
 import { renderMetrics } from "./metrics.js";
 import { CloudClient, StateClient, WorkerClient } from "./outside.js";
@@ -32,7 +32,7 @@
 const GATHER_MS = 25;
 
 /** Owns the controller: everything that happens becomes a command in one queue, worked off in batches. */
-export class Loop implements Desk {
+export class Loop implements RequestHandler {
   readonly #controller: Controller;
   readonly #log: Log;
   readonly #state: StateClient;
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -11,15 +11,15 @@
     new Gauge({ name: `hillspindle_${name}`, help, registers: [registry] }).set(value);
   };
   gauge("ready", "1 if this node takes requests", controller.ready ? 1 : 0);
-  gauge("leading", "1 if this node leads", controller.reign ? 1 : 0);
+  gauge("leading", "1 if this node leads", controller.leaderTerm ? 1 : 0);
   gauge("batches_total", "Batches of commands worked off", loop.batches);
   gauge("lag_ms", "How late the last tick came", loop.lagMs);
   gauge("users_waiting", "Requests of users that await their answer", loop.waiting);
-  const { reign } = controller;
-  if (reign) {
-    const machines = [...reign.tables.machines.values()];
-    gauge("token", "The token that everything sent carries", reign.reigning.token);
-    gauge("jobs", "Jobs that are not over", reign.tables.jobs.size);
+  const { leaderTerm } = controller;
+  if (leaderTerm) {
+    const machines = [...leaderTerm.tables.machines.values()];
+    gauge("token", "The token that everything sent carries", leaderTerm.term.token);
+    gauge("jobs", "Jobs that are not over", leaderTerm.tables.jobs.size);
     gauge("machines_up", "Machines that report", machines.filter((m) => m.phase === "up" && !m.lost).length);
     gauge(
       "machines_booting",
@@ -31,21 +31,21 @@
       "Tasks on machines",
       machines.reduce((n, m) => n + m.placements.size, 0),
     );
-    gauge("blocked_jobs", "Jobs that found no place in the last round", reign.scheduler.blocked.length);
+    gauge("blocked_jobs", "Jobs that found no place in the last round", leaderTerm.scheduler.blocked.length);
     gauge(
       "rounds_cut_total",
       "Rounds that went over their time and were gone on with",
-      reign.scheduler.roundsCut,
+      leaderTerm.scheduler.roundsCut,
     );
-    gauge("machines_looked_at_total", "Machines looked at in search of places", reign.scheduler.looked);
-    gauge("reports_compared_total", "Reports that said something new", reign.fleet.reconciled);
+    gauge("machines_looked_at_total", "Machines looked at in search of places", leaderTerm.scheduler.looked);
+    gauge("reports_compared_total", "Reports that said something new", leaderTerm.fleet.reconciled);
     gauge(
-      "machines_deaf",
+      "machines_unreachable",
       "Machines that report but do not hear",
-      machines.filter((m) => m.deafSince !== null).length,
+      machines.filter((m) => m.unreachableSince !== null).length,
     );
-    gauge("moves_total", "Moves begun in this reign", reign.mover.moves);
-    gauge("unwritten", "Records that wait to be written", reign.recorder.backlog);
+    gauge("moves_total", "Moves begun in this term", leaderTerm.rebalancer.moves);
+    gauge("unwritten", "Records that wait to be written", leaderTerm.recorder.backlog);
   }
   return { type: registry.contentType, text: await registry.metrics() };
 }
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -206,7 +206,7 @@
       spot: false,
       session: 1,
       sequence,
-      token: this.core.leadership.reign?.token ?? 0,
+      token: this.core.leadership.term?.token ?? 0,
       noticeS: null,
       tasks: said.map(({ uid, task, attempt, state, cause }) => ({
         job: this.core.directory.jobs.intern(uid),
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -171,7 +171,7 @@
   b.budget = () => true;
   for (let i = 1; i <= 5; i++) b.submit(job(`j-${i}`));
   settle(b, held);
-  assert.ok((b.core.reign?.scheduler.roundsCut ?? 0) > 0);
+  assert.ok((b.core.leaderTerm?.scheduler.roundsCut ?? 0) > 0);
   for (let i = 1; i <= 5; i++) {
     const n = ["A", "B"].reduce((sum, name) => sum + live(held, name, `j-${i}`).length, 0);
     assert.equal(n, 1, `j-${i}`);
@@ -188,10 +188,10 @@
     b.answerDo("A", [{ uid, task: 0, attempt, state: "ended", cause: "error" }]);
     b.pass(200);
     b.unanswered.splice(0);
-    for (const machine of b.core.reign?.tables.machines.values() ?? []) machine.doInFlight = false;
+    for (const machine of b.core.leaderTerm?.tables.machines.values() ?? []) machine.doInFlight = false;
   }
   assert.equal(
-    [...(b.core.reign?.tables.machines.values() ?? [])].find((m) => m.name === "A")?.mode,
+    [...(b.core.leaderTerm?.tables.machines.values() ?? [])].find((m) => m.name === "A")?.mode,
     "drain",
   );
 });
@@ -225,7 +225,7 @@
   assert.equal(new Set(names).size, 1);
   b.cloudRule = (call) => (call.t === "hire" ? { t: "hired", machines: ["H"] } : rest(call));
   b.pass(1500);
-  assert.ok([...(b.core.reign?.tables.machines.values() ?? [])].some((m) => m.name === "H"));
+  assert.ok([...(b.core.leaderTerm?.tables.machines.values() ?? [])].some((m) => m.name === "H"));
 });
 
 test("operators' settings: stored, effective at once, and nothing changes on a bad value", () => {
@@ -286,7 +286,7 @@
   b.submit(job("j-11", { shape: "service", priority: 3, estimateS: 0 }));
   settle(b, held);
   beat(b, held, {}, 60);
-  assert.equal(b.core.reign?.mover.moves, 0, "B is as cold as A");
+  assert.equal(b.core.leaderTerm?.rebalancer.moves, 0, "B is as cold as A");
 });
 
 test("move: a new leader finishes the recorded one first", () => {
@@ -295,13 +295,13 @@
   const next = new Bench("n1", b.state);
   next.now = b.now + 60_000;
   next.lead();
-  assert.equal(next.core.reign?.mover.pending?.job, "j-11");
+  assert.equal(next.core.leaderTerm?.rebalancer.pending?.job, "j-11");
   next.unanswered.splice(0);
-  for (const machine of next.core.reign?.tables.machines.values() ?? []) machine.doInFlight = false;
+  for (const machine of next.core.leaderTerm?.tables.machines.values() ?? []) machine.doInFlight = false;
   beat(next, held, {}, 34);
   assert.equal(live(held, "A", "j-11").length, 0);
   assert.equal(live(held, "B", "j-11").length, 1);
-  assert.equal(next.core.reign?.mover.moves, 0, "it began none of its own before");
+  assert.equal(next.core.leaderTerm?.rebalancer.moves, 0, "it began none of its own before");
 });
 
 test("machines of a zone that is cut off are kept, also while they come back one by one; a single silent one is not", () => {
@@ -586,7 +586,7 @@
   settle(b, held, more);
   b.submit(job("j-3", { ...IDLE, tasks: 8 }));
   beat(b, held, more, 80);
-  const aged = b.core.reign?.tables.jobByUid("j-3");
+  const aged = b.core.leaderTerm?.tables.jobByUid("j-3");
   assert.ok(aged && isAged(b.core.ctx, aged));
   b.submit(job("j-4", gang));
   beat(b, held, more, 2);
@@ -617,9 +617,10 @@
   next.now = b.now + 200_000;
   next.lead();
   const ages = (uid: string) => {
-    const known = next.core.reign?.tables.jobByUid(uid);
+    const known = next.core.leaderTerm?.tables.jobByUid(uid);
     assert.ok(known, uid);
-    for (const placement of [...known.held.values()]) next.core.reign?.tables.unplace(placement, next.now);
+    for (const placement of [...known.held.values()])
+      next.core.leaderTerm?.tables.unplace(placement, next.now);
     return isAged(next.core.ctx, known);
   };
   assert.deepEqual([ages("j-1"), ages("j-2")], [false, true]);
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -110,12 +110,12 @@
   b.report("B");
   b.pass(3000);
   assert.deepEqual(b.starts("j-3"), []);
-  assert.equal(b.core.reign?.tables.jobByUid("j-3")?.released, false);
+  assert.equal(b.core.leaderTerm?.tables.jobByUid("j-3")?.released, false);
   const final = readFinal(b.state.items.get("f/j-1")?.value);
   assert.equal(final?.state, "done");
   b.stateRule = null;
   b.pass(2500);
-  const released = b.core.reign?.tables.jobByUid("j-2");
+  const released = b.core.leaderTerm?.tables.jobByUid("j-2");
   assert.equal(released?.released, true);
   assert.equal(released?.since, final?.at, "its waits count from the end of what it needed, on record");
 });
@@ -173,15 +173,15 @@
     b.report("A", [said]);
     b.pass(2000);
   }
-  const { reign } = b.core;
-  const first = reign?.tables.jobByUid("j-1");
-  const second = reign?.tables.jobByUid("j-2");
-  assert.ok(reign && first && second);
+  const { leaderTerm } = b.core;
+  const first = leaderTerm?.tables.jobByUid("j-1");
+  const second = leaderTerm?.tables.jobByUid("j-2");
+  assert.ok(leaderTerm && first && second);
   assert.equal(phaseOf(b.poll("j-2")), "queued");
   assert.equal(second.pending, 0);
-  assert.deepEqual(reign.scheduler.blocked, []);
+  assert.deepEqual(leaderTerm.scheduler.blocked, []);
   assert.equal(b.cloudCalls.filter(({ t }) => t === "hire").length, 0);
-  assert.ok(reign.scheduler.guaranteedJobs([first]).has(first));
+  assert.ok(leaderTerm.scheduler.guaranteedJobs([first]).has(first));
   const { awaiting } = b.core.status() as { awaiting: unknown[] };
   assert.deepEqual(awaiting, [{ job: "j-2", tasks: 6, awaits: ["j-1"] }]);
   // 200 s after its acceptance it has waited for nothing yet.
@@ -199,7 +199,7 @@
   b.submit(job("j-2", { priority: 0, tasks: 8, estimateS: 20, awaits: ["j-1"] }));
   b.pass(300);
   const of = (uid: string) => {
-    const found = b.core.reign?.tables.jobByUid(uid);
+    const found = b.core.leaderTerm?.tables.jobByUid(uid);
     assert.ok(found);
     const { priority, dueAt, acceptedAt } = found;
     return { priority, dueS: dueAt === null ? null : Math.round((dueAt - acceptedAt) / 1000) };
@@ -215,11 +215,11 @@
   const next = new Bench("n1", b.state);
   next.now = b.now + 60_000;
   next.lead();
-  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.priority, 2);
+  assert.equal(next.core.leaderTerm?.tables.jobByUid("j-1")?.priority, 2);
   next.cancel("j-3");
   next.pass(500);
-  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.priority, 0);
-  assert.equal(next.core.reign?.tables.jobByUid("j-1")?.dueAt, null);
+  assert.equal(next.core.leaderTerm?.tables.jobByUid("j-1")?.priority, 0);
+  assert.equal(next.core.leaderTerm?.tables.jobByUid("j-1")?.dueAt, null);
 });
 
 test("what a submission may name: accepted jobs that are no services; repeats count once", () => {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -61,12 +61,12 @@
   // Found by `real`: what was known grew older than was allowed between two answers of a follow.
   for (const cancelS of [40, 10, 8, 5]) {
     const b = new Bench("n0", new StateService(), "n0-1", { leaseS: 4, cancelS }).lead();
-    const token = b.core.leadership.reign?.firstToken;
+    const token = b.core.leadership.term?.firstToken;
     for (let i = 0; i < 60; i++) {
       assert.equal(b.report("A")?.t, "orders", `${cancelS} s: ${i / 2} s`);
       b.pass(500);
     }
-    assert.equal(b.core.leadership.reign?.firstToken, token, `${cancelS} s`);
+    assert.equal(b.core.leadership.term?.firstToken, token, `${cancelS} s`);
   }
 });
 
@@ -90,7 +90,7 @@
   b.stateRule = (call) => (call.t === "list" && call.prefix === "j/" ? UNHEARD : null);
   b.lead();
   const said = [{ uid: "j-1", task: 0, attempt, state: "running" }] as const;
-  assert.equal(b.core.reign?.fleet.loaded, false);
+  assert.equal(b.core.leaderTerm?.fleet.loaded, false);
   assert.equal(b.report("A", said), undefined, "held, for the leader to be");
   b.stateRule = null;
   b.pass(1000);
@@ -164,13 +164,13 @@
     b.pass(1000);
   }
   assert.ok(b.hung.length > 0, "the mark is under way");
-  assert.ok((b.core.leadership.reign?.token ?? 0) > tokenOf(ended[0]?.attempt ?? 0));
+  assert.ok((b.core.leadership.term?.token ?? 0) > tokenOf(ended[0]?.attempt ?? 0));
   assert.deepEqual(forgotten, []);
 });
 
 test("a leader that the state service refuses launches nothing, answers reports for a time, then no more", () => {
   const { b, attempt } = running();
-  const token = b.core.leadership.reign?.token;
+  const token = b.core.leadership.term?.token;
   b.stateRule = () => ({ t: "refused", why: "outage" });
   b.pass(4000);
   assert.equal(b.core.leadership.confirmed, false);
@@ -178,7 +178,7 @@
   assert.ok(answer?.t === "orders" && answer.token === token);
   assert.equal(b.submit(job("j-2"))?.t, "later");
   b.pass(40_000);
-  assert.equal(b.core.reign, null);
+  assert.equal(b.core.leaderTerm, null);
   assert.notEqual(b.report("A")?.t, "orders");
 });
 
@@ -189,7 +189,7 @@
     else b.report("B", [], { token: 99 });
     b.pass(1000);
     if (way === "grant") b.stateRule = null;
-    assert.ok(b.core.reign === null || b.core.reign.reigning.token > 1, way);
+    assert.ok(b.core.leaderTerm === null || b.core.leaderTerm.term.token > 1, way);
   }
 });
 
@@ -206,25 +206,25 @@
   const next = new Bench("n1", state);
   next.now = b.now + 60_000;
   next.lead();
-  assert.ok(next.core.reign);
+  assert.ok(next.core.leaderTerm);
   assert.equal(state.run(call, next.now).t, "conflict");
   assert.equal(state.items.has("p/j-1/0"), false);
 });
 
 test("tokens never repeat: each leader's is higher than all before, also after raises", () => {
   const { b } = running();
-  const first = b.core.leadership.reign?.token ?? 0;
+  const first = b.core.leadership.term?.token ?? 0;
   for (let i = 0; i < 32; i++) {
     b.pass(1000);
     b.report("A");
   }
-  const raised = b.core.leadership.reign?.token ?? 0;
+  const raised = b.core.leadership.term?.token ?? 0;
   assert.ok(raised > first);
   b.state.expire(b.now + 60_000);
   const next = new Bench("n1", b.state);
   next.now = b.now + 60_000;
   next.lead();
-  assert.ok((next.core.leadership.reign?.token ?? 0) > raised);
+  assert.ok((next.core.leadership.term?.token ?? 0) > raised);
 });
 
 /** A new leader over the records of one that placed task 0 of j-1 on A; A has not been heard. */
@@ -234,7 +234,7 @@
   const b = new Bench("n1", old.state);
   b.now = old.now + 60_000;
   b.lead();
-  assert.ok(b.core.reign?.fleet.loaded);
+  assert.ok(b.core.leaderTerm?.fleet.loaded);
   b.report("B", [], { zone: "b" });
   b.pass(300);
   return { b, attempt };
@@ -245,7 +245,7 @@
   assert.deepEqual(b.starts("j-1"), [], "nothing is known of A yet");
   b.report("A", [], { token: 1 });
   b.pass(300);
-  assert.equal(b.core.reign?.tables.jobByUid("j-1")?.held.get(0)?.attempt, attempt);
+  assert.equal(b.core.leaderTerm?.tables.jobByUid("j-1")?.held.get(0)?.attempt, attempt);
   assert.deepEqual(
     b.starts("j-1"),
     [],
@@ -268,7 +268,7 @@
 test("an unadopted machine is waited out for the former leader's hold and the lease, not less", () => {
   const { b } = succeeded();
   b.cloudRule = () => ({ t: "refused", why: "down" });
-  const since = b.core.reign?.reigning.since ?? 0;
+  const since = b.core.leaderTerm?.term.since ?? 0;
   const boundMs = b.core.leadership.holdMs() + 3000 + 12_000;
   const keepAlive = () => b.report("B", [], { zone: "b" });
   while (b.now < since + boundMs) {
@@ -286,7 +286,7 @@
 /** How long after its election the leader starts j-1 anew, machine A being silent and B alive. */
 function startsAfterMs(b: Bench, each: () => void = () => {}): number {
   b.cloudRule = () => ({ t: "refused", why: "down" });
-  const since = b.core.reign?.reigning.since ?? 0;
+  const since = b.core.leaderTerm?.term.since ?? 0;
   while (b.starts("j-1").length === 0 && b.now < since + 60_000) {
     b.report("B", [], { zone: "b" });
     each();
@@ -295,10 +295,10 @@
   return b.now - since;
 }
 
-test("once every peer has shown this reign's token no former leader's hold is waited out; one of two is not enough", () => {
+test("once every peer has shown this leaderTerm's token no former leader's hold is waited out; one of two is not enough", () => {
   for (const shown of [["n0", "n2"], ["n2"], ["n0"]]) {
     const { b } = succeeded();
-    const token = b.core.reign?.reigning.token ?? 0;
+    const token = b.core.leaderTerm?.term.token ?? 0;
     const show = (value: number) => {
       for (const from of shown) {
         const message = { t: "beat", token: value, leader: null, stateOk: true, workersHeard: 1 } as const;
@@ -307,7 +307,7 @@
     };
     show(token - 1);
     const after = startsAfterMs(b, () => {
-      if (b.now - (b.core.reign?.reigning.since ?? 0) > 2000) show(token);
+      if (b.now - (b.core.leaderTerm?.term.since ?? 0) > 2000) show(token);
     });
     const holdMs = b.core.leadership.holdMs();
     if (shown.length === 2) assert.ok(after > 14_000 && after < 16_000, `${after} ms`);
@@ -320,7 +320,7 @@
     const { b } = running();
     b.stateRule = () => ({ t: "refused", why: "cut off" });
     let steppedDown = 0;
-    const leads = () => b.core.leadership.reign;
+    const leads = () => b.core.leadership.term;
     while (leads()) {
       b.pass(100);
       steppedDown = b.now;
@@ -393,7 +393,7 @@
   b.cloudRule = () => ({ t: "refused", why: "" });
   b.pass(14_000);
   const reports = () => b.answerDo("A", [], { session: 2 });
-  b.core.reign?.fleet.fence([...(b.core.reign?.tables.machines.values() ?? [])][0] as never);
+  b.core.leaderTerm?.fleet.fence([...(b.core.leaderTerm?.tables.machines.values() ?? [])][0] as never);
   b.give({ t: "tick" });
   reports();
   b.pass(300);
@@ -453,7 +453,7 @@
     b.pass(1000);
     b.report("A", [ended]);
   }
-  assert.ok((b.core.leadership.reign?.token ?? 0) > tokenOf(attempt));
+  assert.ok((b.core.leadership.term?.token ?? 0) > tokenOf(attempt));
   const late = b.report("A", [ended]);
   assert.ok(late?.t === "orders" && late.orders.some((o) => o.op === "forget"));
 });
@@ -481,7 +481,7 @@
   b.report("A", [{ uid: "j-1", task: 0, attempt, state: "running" }]);
   b.give({ t: "report", req: 900, report: old, raw: null });
   b.pass(500);
-  assert.equal(b.core.reign?.counts("j-1")?.done, 0);
+  assert.equal(b.core.leaderTerm?.counts("j-1")?.done, 0);
 });
 
 test("neither an old list nor a late report brings a released machine back into use", () => {
@@ -530,9 +530,9 @@
   b.give({ t: "tick" });
   assert.deepEqual(b.faults, ["fault in the core"]);
   assert.equal(b.toldUser(801)?.t, "view");
-  assert.equal(b.core.leaderName === null || b.core.leadership.reign === null, true);
+  assert.equal(b.core.leaderName === null || b.core.leadership.term === null, true);
   b.pass(6000);
-  assert.ok(b.core.leadership.reign, "it leads again");
+  assert.ok(b.core.leadership.term, "it leads again");
   assert.equal(b.core.status().jobs, 1, "with what the records say");
 });
 
@@ -549,16 +549,16 @@
     beat(0);
     b.pass(1000);
   }
-  assert.ok(b.core.leadership.reign, "nobody hears any: handing over would not help");
+  assert.ok(b.core.leadership.term, "nobody hears any: handing over would not help");
   for (const name of ["A", "B", "C"]) b.report(name);
   for (let s = 0; s < 8; s++) {
     beat(3);
     b.pass(1000);
   }
-  assert.equal(b.core.leadership.reign, null);
+  assert.equal(b.core.leadership.term, null);
   assert.equal(b.state.items.has("c/leader"), false, "the key is free at once");
   b.pass(5000);
-  assert.equal(b.core.leadership.reign, null);
+  assert.equal(b.core.leadership.term, null);
 });
 
 test("polls are answered together by one comparison, and never with what another node has outdated", () => {
@@ -625,7 +625,7 @@
   const b = new Bench("n1", old.state, "n1-2");
   b.now = first.now + 100;
   b.lead();
-  assert.ok(b.core.reign, "it takes over from its former self at once");
+  assert.ok(b.core.leaderTerm, "it takes over from its former self at once");
   b.cloudRule = () => ({ t: "refused", why: "down" });
   const holdMs = b.core.leadership.holdMs();
   const endsAt = b.now + holdMs + 12_000;
@@ -661,7 +661,8 @@
       b.silenceDo();
     }
     assert.notEqual(
-      b.core.reign?.tables.machine("A", { address: "", type: "", zone: "", spot: false }, 0).deafSince,
+      b.core.leaderTerm?.tables.machine("A", { address: "", type: "", zone: "", spot: false }, 0)
+        .unreachableSince,
       null,
     );
     b.submit(job("j-2", { zone: "a" }));
@@ -715,7 +716,7 @@
     b.pass(1000);
     b.silenceDo();
   }
-  assert.equal(b.core.leadership.reign, null);
+  assert.equal(b.core.leadership.term, null);
 });
 
 test("a copy that comes late brings no released machine back, and is no sign of life to a new leader", () => {
@@ -737,13 +738,13 @@
   b.pass(5000);
   assert.deepEqual(b.answered(900), { t: "later" });
   assert.deepEqual(released, ["A"], "it is not released again");
-  assert.equal(b.core.reign?.tables.machines.size, 0);
+  assert.equal(b.core.leaderTerm?.tables.machines.size, 0);
 
   const next = new Bench().lead();
   next.report("A", [], { token: 0 });
   next.submit(job("j-1"));
   next.pass(3000);
-  assert.deepEqual(next.starts("j-1"), [], "the report carries no token of this reign");
+  assert.deepEqual(next.starts("j-1"), [], "the report carries no token of this term");
 });
 
 test("a copy that comes late to a follower does not make it a worker's way to the leader", () => {
@@ -798,7 +799,7 @@
   const b = new Bench("n1", old.state);
   b.now = old.now + 60_000;
   b.lead();
-  assert.ok(b.core.reign?.fleet.loaded);
+  assert.ok(b.core.leaderTerm?.fleet.loaded);
   assert.ok(b.faults.length >= 3 && b.faults.every((text) => text === "a record can't be read"));
   b.report("B", [], { zone: "b" });
   const runs: Said = { uid: "j-1", task: 0, attempt, state: "running" };
@@ -859,9 +860,9 @@
     b.report("A", [...held(), ...ended]);
     b.pass(1000);
   }
-  b.core.reign?.recorder.setMove({ job: "j-2", task: 0, from: "A", to: "B", startedAt: 1 }, () => {});
+  b.core.leaderTerm?.recorder.setMove({ job: "j-2", task: 0, from: "A", to: "B", startedAt: 1 }, () => {});
   b.pass(300);
-  b.core.reign?.recorder.setMove(null, () => {});
+  b.core.leaderTerm?.recorder.setMove(null, () => {});
   b.pass(300);
   const writes = new Set(
     sent.flatMap((c) => (c.t === "txn" ? c.changes.map((x) => ("put" in x ? x.put : x.remove)) : [])),
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { FailedFits } from "../src/core/failed-fits.js";
 import { Job } from "../src/core/tables.js";
-import { Vain } from "../src/core/vain.js";
 import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
 
@@ -90,7 +90,7 @@
     }
     fleet.step(5000);
   }
-  assert.ok((b.core.reign?.scheduler.blocked.length ?? 0) > 10, "there is overload to the end");
+  assert.ok((b.core.leaderTerm?.scheduler.blocked.length ?? 0) > 10, "there is overload to the end");
   for (const uid of ["j-wide", "j-long", "j-idle"]) {
     const at = fleet.begun.get(uid);
     assert.ok(at !== undefined, `${uid} never began`);
@@ -105,19 +105,22 @@
   for (let i = 0; i < 10; i++)
     b.submit(job(`j-${i}`, { tasks: 10_000, estimateS: 600, team: i % 2 ? "red" : "blue" }));
   for (let i = 0; i < 40; i++) fleet.step(3_600_000);
-  const { reign } = b.core;
-  assert.ok(reign);
-  const placed = [...reign.tables.machines.values()].reduce((sum, m) => sum + m.placements.size, 0);
+  const { leaderTerm } = b.core;
+  assert.ok(leaderTerm);
+  const placed = [...leaderTerm.tables.machines.values()].reduce((sum, m) => sum + m.placements.size, 0);
   assert.equal(placed, 40, "as many as the teams' limits allow");
-  const looked = reign.scheduler.looked;
-  const compared = reign.fleet.reconciled;
+  const looked = leaderTerm.scheduler.looked;
+  const compared = leaderTerm.fleet.reconciled;
   const written = b.state.revision;
   for (let i = 0; i < 20; i++) fleet.step(3_600_000);
   // Ten seconds, ten rounds at most a second, ten jobs waiting: far fewer looks at a machine than machines x jobs.
-  assert.ok(reign.scheduler.looked - looked <= 2 * 1000, `${reign.scheduler.looked - looked} looks`);
   assert.ok(
-    reign.fleet.reconciled - compared <= 1000,
-    `${reign.fleet.reconciled - compared} reports taken apart`,
+    leaderTerm.scheduler.looked - looked <= 2 * 1000,
+    `${leaderTerm.scheduler.looked - looked} looks`,
+  );
+  assert.ok(
+    leaderTerm.fleet.reconciled - compared <= 1000,
+    `${leaderTerm.fleet.reconciled - compared} reports taken apart`,
   );
   assert.ok(b.state.revision - written <= 5, "and next to nothing is written");
 });
@@ -134,8 +137,8 @@
   const next = new Bench("n1", b.state);
   next.now = b.now + 60_000;
   next.lead();
-  assert.ok(next.core.reign?.fleet.loaded, "ready after three reads");
-  const recorded = next.core.reign?.tables.machines.size ?? 0;
+  assert.ok(next.core.leaderTerm?.fleet.loaded, "ready after three reads");
+  const recorded = next.core.leaderTerm?.tables.machines.size ?? 0;
   assert.ok(recorded > 0);
   // It shows them its token a few at a time, so that its renewals are never late.
   let most = 0;
@@ -149,21 +152,21 @@
 
 test("what found no place is not looked for again by as much or more, unless places are kept for it", () => {
   const { ctx } = new Bench().core;
-  const vain = new Vain(ctx);
+  const failedFits = new FailedFits(ctx);
   const make = (uid: string, cpu: number, tasks = 1) =>
     new Job(0, job(uid, { shape: "gang", tasks, need: { cpu, gpu: 0, ram: 0 } }), 0, 1);
-  vain.add(make("j-1", 2000, 2), 2);
-  assert.equal(vain.has(make("j-2", 3000, 2), 2), true);
-  assert.equal(vain.has(make("j-3", 1000, 2), 2), false, "less may fit");
-  assert.equal(vain.has(make("j-4", 2000), 1), false, "fewer may fit");
+  failedFits.add(make("j-1", 2000, 2), 2);
+  assert.equal(failedFits.has(make("j-2", 3000, 2), 2), true);
+  assert.equal(failedFits.has(make("j-3", 1000, 2), 2), false, "less may fit");
+  assert.equal(failedFits.has(make("j-4", 2000), 1), false, "fewer may fit");
   const kept = make("j-5", 3000, 2);
   kept.reservesUntil = ctx.now + 1;
-  assert.equal(vain.has(kept, 2), false);
+  assert.equal(failedFits.has(kept, 2), false);
   const fails = make("j-6", 3000, 2);
   fails.failedOn.add(1);
-  assert.equal(vain.has(fails, 2), false, "its choice is another one");
-  vain.clear();
-  assert.equal(vain.has(make("j-2", 3000, 2), 2), false);
+  assert.equal(failedFits.has(fails, 2), false, "its choice is another one");
+  failedFits.clear();
+  assert.equal(failedFits.has(make("j-2", 3000, 2), 2), false);
 });
 
 const ANY = { cpu: 1_000_000_000, gpu: 0, ram: 0 };
@@ -191,7 +194,7 @@
 
 function placements(b: Bench): number {
   let n = 0;
-  for (const machine of b.core.reign?.tables.machines.values() ?? []) n += machine.placements.size;
+  for (const machine of b.core.leaderTerm?.tables.machines.values() ?? []) n += machine.placements.size;
   return n;
 }
 
@@ -209,12 +212,12 @@
   const next = new Bench("n1", b.state, "n1-1", { teams });
   next.now = b.now + 60_000;
   next.lead();
-  assert.ok(next.core.reign?.fleet.loaded);
+  assert.ok(next.core.leaderTerm?.fleet.loaded);
   assert.equal(placements(next), MANY * EACH);
   const beat = (alive: readonly [string, (typeof held)[number][1]][], token: number) => {
     for (const [name, list] of alive) next.report(name, list, { token });
   };
-  const token = next.core.reign?.reigning.token ?? 0;
+  const token = next.core.leaderTerm?.term.token ?? 0;
   beat(held, 1);
   next.pass(500);
   beat(held, token);
@@ -224,7 +227,7 @@
 
   // A third falls silent for good: each tick's effects stay bounded while what ran there is placed again.
   const alive = held.filter((_, i) => i % 3 !== 0);
-  const before = next.core.reign?.scheduler.looked ?? 0;
+  const before = next.core.leaderTerm?.scheduler.looked ?? 0;
   let mostSent = 0;
   for (let i = 0; i < 60; i++) {
     const sent = next.sent.length;
@@ -234,9 +237,9 @@
   }
   const left = placements(next);
   assert.ok(left <= Math.ceil(alive.length * EACH), `${left} placements`);
-  assert.ok(next.core.reign, "it still leads");
+  assert.ok(next.core.leaderTerm, "it still leads");
   assert.deepEqual(next.faults, []);
   assert.ok(mostSent <= 2 * FENCES_IN_500_MS, `${mostSent} direct commands in half a second`);
-  const looked = (next.core.reign?.scheduler.looked ?? 0) - before;
+  const looked = (next.core.leaderTerm?.scheduler.looked ?? 0) - before;
   assert.ok(looked <= 20 * 10 * MANY, `${looked} looks at a machine for ten jobs in thirty seconds`);
 });
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -2,7 +2,7 @@
 import http from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { createServer, type Desk } from "../src/shell/api.js";
+import { createServer, type RequestHandler } from "../src/shell/api.js";
 import { type HttpAnswer, HttpClient } from "../src/shell/http-client.js";
 import { shareSockets } from "../src/shell/sockets.js";
 
@@ -74,7 +74,7 @@
   }
 });
 
-class AnyDesk implements Desk {
+class AnyRequestHandler implements RequestHandler {
   ready = true;
   overloaded = false;
   submit(): void {}
@@ -91,7 +91,7 @@
 }
 
 test("workers leave room for probes and users: the next one is sent on, and a place that comes free is given again", async () => {
-  const server = createServer(new AnyDesk(), { inbound: 8, workersIn: 3, workersOut: 1 });
+  const server = createServer(new AnyRequestHandler(), { inbound: 8, workersIn: 3, workersOut: 1 });
   const agents = Array.from({ length: 4 }, () => new HttpClient(1));
   const probes = new HttpClient(1);
   try {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -39,10 +39,10 @@
 
 /** Every machine reports as running what it has been told to start, by this leader or an earlier one. */
 function reportAll(b: Bench): void {
-  const { reign } = b.core;
-  if (!reign) return;
-  const { firstToken } = reign.reigning;
-  for (const machine of reign.tables.machines.values()) {
+  const { leaderTerm } = b.core;
+  if (!leaderTerm) return;
+  const { firstToken } = leaderTerm.term;
+  for (const machine of leaderTerm.tables.machines.values()) {
     const said = [...machine.placements]
       .filter(({ sentToken, attempt }) => sentToken > 0 || tokenOf(attempt) < firstToken)
       .map(({ job: { uid }, task, attempt }) => ({ uid, task, attempt, state: "running" as const }));
@@ -53,7 +53,7 @@
 
 /** How many tasks of a job are known to run. */
 function running(b: Bench, uid: string): number {
-  return b.core.reign?.tables.jobByUid(uid)?.running() ?? 0;
+  return b.core.leaderTerm?.tables.jobByUid(uid)?.running() ?? 0;
 }
 
 /** Lets time pass while every machine reports, and answers what it is told directly. */
@@ -73,7 +73,7 @@
     if (productionReads(key, value) === null) unreadable.push(key);
   };
   b.lead();
-  const { tables } = b.core.reign ?? assert.fail("no leader");
+  const { tables } = b.core.leaderTerm ?? assert.fail("no leader");
   assert.deepEqual([...tables.jobs.values()].map(({ uid }) => uid).sort(), [
     "j-000001",
     "j-000002",
@@ -151,7 +151,7 @@
   state.limits = SMALL;
   reportAll(b);
   // Tasks of both production's chunks end; others are placed anew.
-  const first = b.core.reign?.tables.jobByUid("j-000001") ?? assert.fail("not read");
+  const first = b.core.leaderTerm?.tables.jobByUid("j-000001") ?? assert.fail("not read");
   const ended = [...first.held.values()].filter(({ task }) => task % 50 === 7);
   for (const { machine, task, attempt } of ended) {
     const others = [...machine.placements]
@@ -176,12 +176,12 @@
   const next = new Bench("n1", state);
   next.now = b.now + 60_000;
   next.lead();
-  const again = next.core.reign?.tables.jobByUid("j-000001") ?? assert.fail("not read");
+  const again = next.core.leaderTerm?.tables.jobByUid("j-000001") ?? assert.fail("not read");
   assert.equal(again.doneCount, ended.length);
   assert.equal(again.held.size, 150 - ended.length);
   for (const { task } of ended) assert.ok(again.isDone(task), `task ${task}`);
-  assert.equal(next.core.reign?.tables.jobByUid("j-8")?.held.size, 60);
-  const machines = [...(next.core.reign?.tables.machines.values() ?? [])];
+  assert.equal(next.core.leaderTerm?.tables.jobByUid("j-8")?.held.size, 60);
+  const machines = [...(next.core.leaderTerm?.tables.machines.values() ?? [])];
   assert.ok(
     machines.filter((m) => m.placements.size > 0).every((m) => m.address !== "" || m.bucket === null),
   );
--- a/test/door.test.ts
+++ b/test/validation.test.ts
@@ -9,7 +9,7 @@
 import { parseJob } from "../src/protocol/jobs.js";
 import { decodeStateAnswer } from "../src/protocol/state.js";
 import { decodeReport, encodeOrders } from "../src/protocol/workers.js";
-import { createServer, type Desk } from "../src/shell/api.js";
+import { createServer, type RequestHandler } from "../src/shell/api.js";
 import { shareSockets } from "../src/shell/sockets.js";
 import { SETTINGS } from "./settings.js";
 
@@ -139,22 +139,22 @@
   return JSON.stringify({ ...JOB, note: "x".repeat(bytes - empty.length) });
 }
 
-class FakeDesk implements Desk {
+class FakeRequestHandler implements RequestHandler {
   ready = true;
   overloaded = false;
   asked: unknown[] = [];
-  submit(uid: string, spec: JobSpec | string, then: Parameters<Desk["submit"]>[2]): void {
+  submit(uid: string, spec: JobSpec | string, then: Parameters<RequestHandler["submit"]>[2]): void {
     this.asked.push(uid);
     if (typeof spec === "string") then({ t: "malformed", error: spec });
     else then({ t: "accepted", known: false, view: { uid, phase: "queued", done: 0, running: 0 } });
   }
-  poll(_uid: string, then: Parameters<Desk["poll"]>[1]): void {
+  poll(_uid: string, then: Parameters<RequestHandler["poll"]>[1]): void {
     then({ t: "later", error: "no answer", afterS: 2 });
   }
-  cancel(_uid: string, then: Parameters<Desk["cancel"]>[1]): void {
+  cancel(_uid: string, then: Parameters<RequestHandler["cancel"]>[1]): void {
     then({ t: "unknown" });
   }
-  admin(ask: AdminAsk, then: Parameters<Desk["admin"]>[1]): void {
+  admin(ask: AdminAsk, then: Parameters<RequestHandler["admin"]>[1]): void {
     then(ask.t === "change" ? { t: "bad", error: "move_low: wrong" } : { t: "ok", body: {} });
   }
   report(): boolean {
@@ -166,8 +166,8 @@
 }
 
 test("the API answers bad input with 4xx at no cost, and sheds what it can't take at once", async () => {
-  const desk = new FakeDesk();
-  const server = createServer(desk, shareSockets(100));
+  const handler = new FakeRequestHandler();
+  const server = createServer(handler, shareSockets(100));
   await new Promise<void>((listening) => server.listen(0, "127.0.0.1", listening));
   const { port } = server.address() as AddressInfo;
   const ask = async (method: string, path: string, body?: string) => {
@@ -207,13 +207,13 @@
     }
     const later = await ask("GET", "/api/jobs/j-1");
     assert.deepEqual([later.status, later.after], [503, "2"]);
-    desk.overloaded = true;
-    const before = desk.asked.length;
+    handler.overloaded = true;
+    const before = handler.asked.length;
     const shed = await ask("POST", "/api/jobs", JSON.stringify(JOB));
     assert.equal(shed.status, 503);
     assert.ok(Number(shed.after) > 0);
-    assert.equal(desk.asked.length, before);
-    desk.ready = false;
+    assert.equal(handler.asked.length, before);
+    handler.ready = false;
     assert.equal((await ask("GET", "/ready")).status, 503);
   } finally {
     server.close();
--- a/test/world.ts
+++ b/test/world.ts
@@ -1358,7 +1358,7 @@
    * moment, and in the middle of it the leader ends, or the state service is down for longer than a cancellation may take.
    */
   #meet(workers: readonly Worker[]): void {
-    const leader = this.nodes.find((n) => n.core?.reign) ?? this.nodes[0];
+    const leader = this.nodes.find((n) => n.core?.leaderTerm) ?? this.nodes[0];
     if (!leader) return;
     const forMs = this.between(2000, 40_000);
     const until = this.now + forMs;
@@ -1418,7 +1418,7 @@
       () => {
         for (let i = 0; i < 10; i++)
           this.#at(i * 4000, () => {
-            const now = this.nodes.find((n) => n.core?.reign);
+            const now = this.nodes.find((n) => n.core?.leaderTerm);
             if (now) this.crash(now.ix, this.between(50, 3000));
           });
       },
