--- /dev/null
+++ b/src/core/failures.ts
@@ -0,0 +1,33 @@
+import type { Context } from "./context.js";
+import type { Machine, Placement } from "./tables.js";
+
+const JOB_BACKOFF_MS = 2000;
+const JOB_BACKOFF_MAX_MS = 60_000;
+const JOB_BACKOFF_DOUBLINGS = 10;
+/** A job that has failed on so many machines is held back. */
+const JOB_FAULTS = 2;
+/** A machine on which so many jobs have failed is set aside. */
+const MACHINE_FAULTS = 2;
+
+/** True for a machine that is set aside because different jobs have failed on it. */
+export function isFaulty(machine: Machine): boolean {
+  return machine.failedJobs.size >= MACHINE_FAULTS;
+}
+
+/**
+ * Mostly the machine is faulty: one on which different jobs fail is set aside. A job that fails
+ * on machine after machine has a mistake in it and must not keep the others waiting.
+ */
+export function noteFailure(ctx: Context, { job, machine }: Placement): void {
+  job.failures++;
+  job.failedOn.add(machine.ix);
+  machine.failures++;
+  machine.failedJobs.add(job.ix);
+  if (isFaulty(machine) && machine.mode === "open") {
+    machine.mode = "drain";
+    ctx.log("info", "machine set aside", { machine: machine.name, failures: machine.failures });
+  }
+  if (job.failedOn.size < JOB_FAULTS) return;
+  const doublings = Math.min(JOB_BACKOFF_DOUBLINGS, job.failures - JOB_FAULTS);
+  job.notBefore = ctx.now + Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** doublings);
+}
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -1,14 +1,17 @@
 import type { Budget, Context } from "./context.js";
+import { isFaulty, noteFailure } from "./failures.js";
 import type { FeatureGate } from "./feature-gate.js";
 import { Fleet } from "./fleet.js";
 import type { Leadership, Term } from "./leadership.js";
 import { bytesOf } from "./limits.js";
 import { Pipelines } from "./pipelines.js";
+import { ProgressReports } from "./progress-reports.js";
 import { Provisioner } from "./provisioner.js";
 import { Rebalancer } from "./rebalancer.js";
 import { Recorder } from "./recorder.js";
 import { KEYS, readBucket, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
+import { StateFeed, type StoredRecords } from "./state-feed.js";
 import { readChunks, type StoredChunk } from "./stored-chunks.js";
 import { type Job, type Machine, type Placement, Tables } from "./tables.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
@@ -16,17 +19,10 @@
 
 const LIST_MS = 3000;
 const RETRY_MS = 300;
-const FOLLOW_PAUSE_MS = 200;
 const ROUND_MS = 100;
 /** What looks at every machine, whether or not anything happened there, is done this often. */
 const SURVEY_MS = 500;
 const IDLE_ROUND_MS = 1000;
-const PROGRESS_MS = 1000;
-const JOB_BACKOFF_MS = 2000;
-const JOB_BACKOFF_MAX_MS = 60_000;
-const MACHINE_FAULTS = 2;
-
-type Row = readonly [string, number, number];
 
 /** One time in office: the leader's tables and all that works on them. It is dropped whole when it ends. */
 export class LeaderTerm {
@@ -39,19 +35,14 @@
   readonly rebalancer: Rebalancer;
   readonly pipelines: Pipelines;
   over = false;
-  /** Every change of a job's key before this time has been applied here; null before the records are read. */
-  knownThrough: number | null = null;
+  readonly #feed: StateFeed;
+  readonly #progress: ProgressReports;
   readonly #ctx: Context;
   readonly #view: ConfigView;
   readonly #leadership: Leadership;
-  #revision = 0;
-  #following = false;
-  #followAt = 0;
   #dirty = true;
   #roundAt = 0;
   #surveyAt = Number.NEGATIVE_INFINITY;
-  #progressAt = 0;
-  #told = new Map<string, string>();
   #writingTypes = false;
 
   constructor(ctx: Context, view: ConfigView, leadership: Leadership, term: Term, gate: FeatureGate) {
@@ -91,58 +82,25 @@
       (types) => this.#typesRead(types),
     );
     this.rebalancer = new Rebalancer(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
-    this.#load();
+    this.#progress = new ProgressReports(ctx, this.tables);
+    this.#feed = new StateFeed(ctx, leadership, (item) => this.learnJob(item));
+    this.#feed.load((records) => this.#rebuild(records));
+  }
+
+  /** Every change of a job's key before this time has been applied here; null before the records are read. */
+  get knownThrough(): number | null {
+    return this.#feed.knownThrough;
   }
 
   end(): void {
     this.over = true;
     this.recorder.over = true;
+    this.#feed.stop();
   }
 
   /* ---- reading what earlier leaders left ---- */
 
-  #load(): void {
-    this.#readAll(KEYS.machines, (machines) => {
-      this.#readAll("p/", (chunks) => {
-        this.#readAll("j/", (jobs, revision, askedAt) => {
-          this.#revision = revision;
-          this.#rebuild(machines, chunks, jobs);
-          this.knownThrough = askedAt;
-        });
-      });
-    });
-  }
-
-  /** Reads all keys under a prefix; revision and time are the first page's, so that following misses nothing. */
-  #readAll(prefix: string, then: (items: StateItem[], revision: number, askedAt: number) => void): void {
-    const items: StateItem[] = [];
-    let revision: number | null = null;
-    let firstAskedAt = this.#ctx.now;
-    const next = (after: string | null) => {
-      if (revision === null) firstAskedAt = this.#ctx.now;
-      this.#ctx.state({ t: "list", prefix, after }, LIST_MS, (answer) => {
-        if (this.over) return;
-        if (answer.t !== "page") {
-          this.#later(RETRY_MS, () => next(after));
-          return;
-        }
-        revision ??= answer.revision;
-        items.push(...answer.items);
-        const last = answer.items.at(-1);
-        if (answer.more && last) next(last.key);
-        else then(items, revision, firstAskedAt);
-      });
-    };
-    next(null);
-  }
-
-  readonly #timers: { at: number; run: () => void }[] = [];
-
-  #later(ms: number, run: () => void): void {
-    this.#timers.push({ at: this.#ctx.now + ms, run });
-  }
-
-  #rebuild(machines: readonly StateItem[], chunks: readonly StateItem[], jobs: readonly StateItem[]): void {
+  #rebuild({ machines, chunks, jobs }: StoredRecords): void {
     const { now } = this.#ctx;
     for (const item of machines) {
       const record = readBucket(item.value);
@@ -304,7 +262,7 @@
   #finished(job: Job): void {
     if (job.state === "active") job.state = "done";
     this.tables.jobs.delete(job.ix);
-    this.#told.delete(job.uid);
+    this.#progress.forget(job);
     const state = job.state === "cancelled" ? "cancelled" : "done";
     this.pipelines.ended(job, job.endedAt === null ? { state } : { state, at: job.endedAt });
   }
@@ -332,9 +290,9 @@
             job.endedAt = record?.at ?? null;
             this.#stopAll(job);
             if (job.held.size === 0) this.#finished(job);
-          } else this.#later(RETRY_MS, () => this.#reread(job));
+          } else this.#feed.later(RETRY_MS, () => this.#reread(job));
         });
-      } else this.#later(RETRY_MS, () => this.#reread(job));
+      } else this.#feed.later(RETRY_MS, () => this.#reread(job));
     });
   }
 
@@ -383,7 +341,7 @@
         machine.failedJobs.clear();
         break;
       case "error":
-        this.#failed(placement);
+        noteFailure(this.#ctx, placement);
         break;
       case "no_room":
       case "busy":
@@ -407,26 +365,6 @@
     if (!this.rebalancer.gone(placement)) this.#finishIfOver(job);
   }
 
-  /**
-   * Mostly the machine is faulty: one on which different jobs fail is set aside. A job that fails
-   * on machine after machine has a mistake in it and must not keep the others waiting.
-   */
-  #failed({ job, machine }: Placement): void {
-    const { now } = this.#ctx;
-    job.failures++;
-    job.failedOn.add(machine.ix);
-    machine.failures++;
-    machine.failedJobs.add(job.ix);
-    if (machine.failedJobs.size >= MACHINE_FAULTS && machine.mode === "open") {
-      machine.mode = "drain";
-      this.#ctx.log("info", "machine set aside", { machine: machine.name, failures: machine.failures });
-    }
-    if (job.failedOn.size >= 2) {
-      const wait = Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** Math.min(10, job.failures - 2));
-      job.notBefore = now + wait;
-    }
-  }
-
   /* ---- the course of time ---- */
 
   report(report: Report): ReportAnswer {
@@ -435,12 +373,8 @@
 
   tick(budget: Budget): void {
     const { now } = this.#ctx;
-    for (const timer of this.#timers.splice(0)) {
-      if (timer.at <= now) timer.run();
-      else this.#timers.push(timer);
-    }
+    this.#feed.tick();
     if (!this.fleet.loaded) return;
-    this.#follow();
     this.pipelines.tick();
     this.fleet.greet();
     if (now - this.#surveyAt >= SURVEY_MS) {
@@ -452,7 +386,7 @@
       if (this.#leadership.confirmed) this.rebalancer.tick();
     }
     this.#decide(budget);
-    if (now - this.#progressAt >= PROGRESS_MS) this.#tellProgress();
+    this.#progress.tick();
   }
 
   /** What has become due in this batch: decisions, records, orders. */
@@ -491,33 +425,6 @@
     }
   }
 
-  #follow(): void {
-    const { now } = this.#ctx;
-    if (this.#following || now < this.#followAt) return;
-    this.#following = true;
-    const waitMs = Math.floor(this.#leadership.followMs);
-    const call = { t: "follow", prefix: "j/", after: this.#revision, waitMs } as const;
-    const askedAt = now;
-    this.#ctx.state(call, waitMs + 2000, (answer) => {
-      if (this.over) return;
-      this.#following = false;
-      this.#followAt = this.#ctx.now + FOLLOW_PAUSE_MS;
-      if (answer.t === "events") {
-        for (const event of answer.events) if (event.t === "put") this.learnJob(event.item);
-        this.#revision = Math.max(this.#revision, answer.revision);
-        this.knownThrough = askedAt;
-      } else if (answer.t === "compacted") {
-        this.#following = true;
-        this.#readAll("j/", (items, revision, firstAskedAt) => {
-          this.#following = false;
-          this.#revision = revision;
-          for (const item of items) this.learnJob(item);
-          this.knownThrough = firstAskedAt;
-        });
-      } else this.#followAt = this.#ctx.now + RETRY_MS;
-    });
-  }
-
   #typesRead(types: readonly MachineType[]): void {
     this.tables.setTypes(types);
     this.#dirty = true;
@@ -546,7 +453,7 @@
     for (const machine of this.tables.machines.values()) {
       const mode = this.#view.modes[machine.name];
       if (mode) machine.mode = mode;
-      else if (machine.failedJobs.size < MACHINE_FAULTS) machine.mode = "open";
+      else if (!isFaulty(machine)) machine.mode = "open";
     }
     this.#dirty = true;
   }
@@ -564,19 +471,4 @@
     const job = this.tables.jobByUid(uid);
     return job ? { done: job.doneCount, running: job.running() } : null;
   }
-
-  #tellProgress(): void {
-    this.#progressAt = this.#ctx.now;
-    const rows: Row[] = [];
-    for (const job of this.tables.jobs.values()) {
-      const running = job.running();
-      const mark = `${job.doneCount}/${running}`;
-      if (this.#told.get(job.uid) === mark) continue;
-      this.#told.set(job.uid, mark);
-      rows.push([job.uid, job.doneCount, running]);
-    }
-    if (rows.length === 0) return;
-    for (const to of this.#ctx.deployment.peers)
-      this.#ctx.emit({ t: "peerSend", to, message: { t: "progress", rows } });
-  }
 }
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -19,6 +19,7 @@
   move: "c/move",
   modes: "c/modes",
   features: "c/features",
+  jobs: "j/",
   job: (uid: string) => `j/${uid}`,
   final: (uid: string) => `f/${uid}`,
   /** The placements of a range of a job's tasks, in the layout of its size. */
