--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,30 +1,18 @@
-import { changeOperator, readOperator } from "../config/operator.js";
+import { Administration } from "./administration.js";
 import { type Budget, Context } from "./context.js";
 import { FeatureGate } from "./feature-gate.js";
-import { Intake, later } from "./intake.js";
+import { Intake } from "./intake.js";
 import { LeaderTerm } from "./leader-term.js";
 import { Leadership } from "./leadership.js";
-import { bytesOf } from "./limits.js";
 import { Directory } from "./names.js";
 import { seeded } from "./random.js";
 import { KEYS, PROTOCOL } from "./records.js";
-import type {
-  AdminAnswer,
-  AdminAsk,
-  Command,
-  Deployment,
-  Effect,
-  PeerMessage,
-  Report,
-  ReportAnswer,
-  StateItem,
-} from "./types.js";
+import { ReportRouter } from "./report-router.js";
+import type { Command, Deployment, Effect, PeerMessage, Report, ReportAnswer, StateItem } from "./types.js";
 import { ConfigView } from "./view.js";
 
 const HEARTBEAT_MS = 1000;
 const PEER_FRESH_MS = 3500;
-/** Without a leader a report waits this long for one: workers give up after 4 s. */
-const HOLD_REPORT_MS = 2000;
 /** A node that was last heard speaking the older protocol counts as such for so long. */
 const OLD_PEER_MS = 15_000;
 /** A leader that has heard none of at least so many machines for so many report intervals is cut off from them. */
@@ -32,7 +20,6 @@
 const CUT_OFF_REPORTS = 3;
 const SWEEP_MS = 30_000;
 const UNREADY_AFTER_MS = 2500;
-const CALL_MS = 1500;
 const PROGRESS_KEPT = 20_000;
 
 interface Peer {
@@ -57,14 +44,11 @@
   readonly leadership: Leadership;
   readonly intake: Intake;
   readonly gate: FeatureGate;
+  readonly #administration: Administration;
   leaderTerm: LeaderTerm | null = null;
   readonly #peers = new Map<string, Peer>();
   readonly #progress = new Map<string, { done: number; running: number }>();
-  /** The newest report of each worker that came to this node: a copy that comes late says nothing of where it is. */
-  readonly #newest = new Map<number, { session: number; sequence: number }>();
-  /** Workers that have lately reported to this node, whether or not it could answer them. */
-  readonly #reporters = new Map<number, number>();
-  #waitingReports: { req: number; report: Report; raw: unknown; until: number }[] = [];
+  readonly #reports: ReportRouter;
   #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
 
@@ -90,6 +74,16 @@
       startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
       knownThrough: () => this.leaderTerm?.knownThrough ?? null,
     });
+    this.#administration = new Administration(this.ctx, this.view, () => this.status());
+    this.#reports = new ReportRouter(this.ctx, {
+      leaderAnswer: (report) => this.#leaderAnswer(report),
+      isLeader: () => this.leaderTerm !== null,
+      leader: () => this.view.leader?.value.node ?? null,
+      isHeard: (node) => {
+        const peer = this.#peers.get(node);
+        return peer?.up === true && this.#isFresh(peer);
+      },
+    });
     this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.term);
     this.intake = new Intake(this.ctx, this.view, {
       learned: (item, cancelled) => this.#learned(item, cancelled),
@@ -146,7 +140,7 @@
     this.directory.turn();
     for (const command of batch) this.#guard(() => this.#one(command, budget));
     this.#guard(() => {
-      this.#answerWaiting();
+      this.#reports.answerWaiting();
       this.leaderTerm?.settle(budget);
     });
     return this.ctx.takeEffects();
@@ -181,10 +175,12 @@
         this.intake.cancel(command.uid, (answer) => this.#answer(command.req, answer));
         break;
       case "admin":
-        this.#admin(command.ask, (answer) => this.ctx.emit({ t: "adminAnswer", req: command.req, answer }));
+        this.#administration.handle(command.ask, (answer) => {
+          this.ctx.emit({ t: "adminAnswer", req: command.req, answer });
+        });
         break;
       case "report":
-        this.#report(command.req, command.report, command.raw);
+        this.#reports.take(command.req, command.report, command.raw);
         break;
       case "doDone":
         this.leaderTerm?.fleet.doAnswered(command.id, command.report, command.executed);
@@ -231,14 +227,10 @@
     if (now - this.#sweepAt >= SWEEP_MS) {
       this.#sweepAt = now;
       const used = this.leaderTerm?.inUse() ?? { jobs: new Set<number>(), machines: new Set<number>() };
-      for (const waiting of this.#waitingReports) {
-        used.machines.add(waiting.report.machine);
-        for (const entry of waiting.report.tasks) used.jobs.add(entry.job);
-      }
+      this.#reports.addInUse(used);
       this.directory.jobs.sweep(used.jobs);
       this.directory.machines.sweep(used.machines);
-      for (const machine of this.#newest.keys())
-        if (!used.machines.has(machine)) this.#newest.delete(machine);
+      this.#reports.forgetAllBut(used.machines);
     }
   }
 
@@ -271,18 +263,12 @@
       token: this.leadership.term?.token ?? this.leadership.highestSeen,
       leader: this.leaderTerm ? this.ctx.deployment.node : null,
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
-      workersHeard: this.#workersHeard(),
+      workersHeard: this.#reports.workersHeard(),
       protocol: PROTOCOL,
     };
     for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
   }
 
-  #workersHeard(): number {
-    for (const [machine, at] of this.#reporters)
-      if (this.ctx.now - at > PEER_FRESH_MS) this.#reporters.delete(machine);
-    return this.#reporters.size;
-  }
-
   #peerSaid(from: string, message: PeerMessage): void {
     const peer = this.#peers.get(from);
     if (!peer) return;
@@ -339,127 +325,6 @@
     return leaderTerm.over ? null : answer;
   }
 
-  #report(req: number, report: Report, raw: unknown): void {
-    const newest = this.#newest.get(report.machine);
-    const late =
-      newest !== undefined &&
-      (report.session < newest.session ||
-        (report.session === newest.session && report.sequence <= newest.sequence));
-    if (!late) {
-      const { session, sequence } = report;
-      this.#newest.set(report.machine, { session, sequence });
-      this.#reporters.set(report.machine, this.ctx.now);
-    } else if (!this.leaderTerm) {
-      this.ctx.emit({ t: "reportAnswer", req, answer: { t: "later" } });
-      return;
-    }
-    const waiting = { req, report, raw, until: this.ctx.now + HOLD_REPORT_MS };
-    if (!this.#tryReport(waiting)) this.#waitingReports.push(waiting);
-  }
-
-  /** False while no leader is known that the report could be answered by, sent to or passed on to. */
-  #tryReport({ req, report, raw }: { req: number; report: Report; raw: unknown }): boolean {
-    const answer = this.#leaderAnswer(report);
-    if (answer) {
-      this.ctx.emit({ t: "reportAnswer", req, answer });
-      return true;
-    }
-    const leader = this.view.leader?.value.node;
-    if (leader === undefined || leader === this.ctx.deployment.node) return false;
-    const peer = this.#peers.get(leader);
-    // Every node takes reports and passes them on: HTTP is most of what a report costs, and one node's share of a
-    // core can't bear a large fleet's after a change of leader. A worker goes to the leader if this node can't.
-    if (peer?.up && this.#isFresh(peer)) this.ctx.emit({ t: "relay", req, to: leader, raw });
-    else this.ctx.emit({ t: "reportAnswer", req, answer: { t: "elsewhere", node: leader } });
-    return true;
-  }
-
-  #answerWaiting(): void {
-    if (this.#waitingReports.length === 0) return;
-    const waiting = this.#waitingReports;
-    this.#waitingReports = [];
-    for (const entry of waiting) {
-      if (this.#tryReport(entry)) continue;
-      if (this.ctx.now < entry.until) this.#waitingReports.push(entry);
-      else this.ctx.emit({ t: "reportAnswer", req: entry.req, answer: { t: "elsewhere", node: null } });
-    }
-  }
-
-  /* ---- administration ---- */
-
-  #admin(ask: AdminAsk, answer: (a: AdminAnswer) => void): void {
-    switch (ask.t) {
-      case "settings":
-        this.ctx.state({ t: "get", key: KEYS.settings }, CALL_MS, (got) => {
-          if (got.t === "item") answer({ t: "ok", body: { ...readOperator(got.item.value) } });
-          else if (got.t === "absent") answer({ t: "ok", body: { ...readOperator(null) } });
-          else answer(later("the state service does not answer"));
-        });
-        break;
-      case "change":
-        this.#changeSettings(ask.values, answer);
-        break;
-      case "machine":
-        this.#changeMode(ask.name, ask.mode, answer);
-        break;
-      case "status":
-        answer({ t: "ok", body: this.status() });
-        break;
-      default:
-        ask satisfies never;
-    }
-  }
-
-  #changeSettings(values: Record<string, unknown>, answer: (a: AdminAnswer) => void): void {
-    this.ctx.state({ t: "get", key: KEYS.settings }, CALL_MS, (got) => {
-      if (got.t !== "item" && got.t !== "absent") {
-        answer(later("the state service does not answer"));
-        return;
-      }
-      const result = changeOperator(readOperator(got.t === "item" ? got.item.value : null), values);
-      if (!result.ok) {
-        answer({ t: "bad", error: result.error });
-        return;
-      }
-      const version = got.t === "item" ? got.item.version : 0;
-      this.#writeConfig(KEYS.settings, version, result.settings, answer, { ...result.settings });
-    });
-  }
-
-  #changeMode(name: string, mode: "open" | "cordon" | "drain", answer: (a: AdminAnswer) => void): void {
-    const modes = { ...this.view.modes };
-    if (mode === "open") delete modes[name];
-    else modes[name] = mode;
-    this.#writeConfig(KEYS.modes, this.view.modesVersion, modes, answer, { machine: name, mode });
-  }
-
-  #writeConfig(
-    key: string,
-    version: number,
-    value: unknown,
-    answer: (a: AdminAnswer) => void,
-    body: Record<string, unknown>,
-  ): void {
-    const tooLarge: AdminAnswer = { t: "bad", error: "too much to be kept in one record" };
-    if (bytesOf(value) > this.ctx.limits.valueBytes) {
-      answer(tooLarge);
-      return;
-    }
-    const conditions = [{ key, version }];
-    this.ctx.state({ t: "txn", conditions, changes: [{ put: key, value }] }, CALL_MS, (result) => {
-      if (result.t === "ok") {
-        this.view.note({ key, value, version: result.revision });
-        answer({ t: "ok", body });
-      } else if (result.t === "invalid") {
-        answer(tooLarge);
-      } else {
-        answer(
-          later(result.t === "conflict" ? "changed at the same time" : "the state service does not answer"),
-        );
-      }
-    });
-  }
-
   status(): Record<string, unknown> {
     const { leaderTerm } = this;
     const base = {
@@ -471,10 +336,12 @@
         [...this.#peers].map(([name, peer]) => [name, { link: peer.up, state_ok: peer.stateOk }]),
       ),
     };
-    if (!leaderTerm) return base;
+    return leaderTerm ? { ...base, ...this.#leaderStatus(leaderTerm) } : base;
+  }
+
+  #leaderStatus(leaderTerm: LeaderTerm): Record<string, unknown> {
     const { tables } = leaderTerm;
     return {
-      ...base,
       token: leaderTerm.term.token,
       confirmed: this.leadership.confirmed,
       machines: [...tables.machines.values()].map((machine) => ({
