--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -95,8 +95,7 @@
         this.#lookup.note(uid, result.revision, record);
         this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision }, false);
         const cancelled = this.#lookup.basis(uid).t === "cancelled";
-        const phase = cancelled ? "cancelled" : "queued";
-        answer({ t: "accepted", known: false, view: { uid, phase, done: 0, running: 0 } });
+        answer({ t: "accepted", known: false, view: this.#viewOf(uid, cancelled) });
       } else if (result.t === "conflict") {
         this.#lookup.find(uid, (found) => {
           if (found === null || found.t === "absent") answer(later(UNANSWERED));
@@ -289,7 +288,9 @@
   #viewOf(uid: string, cancelled: boolean): JobView {
     const { done, running } = this.#events.counts(uid) ?? { done: 0, running: 0 };
     if (cancelled) return { uid, phase: "cancelled", done, running };
-    return { uid, phase: running > 0 ? "running" : "queued", done, running };
+    const view = { uid, phase: running > 0 ? "running" : "queued", done, running } as const;
+    const awaits = this.#lookup.unfinishedNeeds(uid);
+    return awaits.length > 0 ? { ...view, awaits } : view;
   }
 }
 
--- a/src/core/job-lookup.ts
+++ b/src/core/job-lookup.ts
@@ -65,6 +65,11 @@
     return this.#finals.get(uid)?.service ?? this.#seen.get(uid)?.service;
   }
 
+  /** Of the jobs that an unfinished one names, those that this node doesn't know as over. */
+  unfinishedNeeds(uid: string): readonly string[] {
+    return (this.#seen.get(uid)?.awaits ?? []).filter((need) => !this.#finals.has(need));
+  }
+
   /** Takes note of a record that this node has read or written. */
   note(uid: string, version: number, { state, spec }: JobRecord): void {
     this.#seen.delete(uid);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -222,6 +222,8 @@
   readonly phase: Phase;
   readonly done: number;
   readonly running: number;
+  /** The unfinished jobs among those that it names; absent where there are none. */
+  readonly awaits?: readonly string[];
 }
 export type UserAnswer =
   | { readonly t: "accepted"; readonly known: boolean; readonly view: JobView }
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -88,5 +88,6 @@
 }
 
 export function encodeView(view: JobView): Record<string, unknown> {
-  return { uid: view.uid, phase: view.phase, done: view.done, running: view.running };
+  const { uid, phase, done, running, awaits } = view;
+  return awaits ? { uid, phase, done, running, awaits } : { uid, phase, done, running };
 }
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { readFinal } from "../src/core/records.js";
 import type { JobSpec, PeerMessage, StateCall, UserAnswer } from "../src/core/types.js";
-import { parseJob } from "../src/protocol/jobs.js";
+import { encodeView, parseJob } from "../src/protocol/jobs.js";
 import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
 
@@ -184,6 +184,15 @@
   assert.ok(leaderTerm.scheduler.guaranteedJobs([first]).has(first));
   const { awaiting } = b.core.status() as { awaiting: unknown[] };
   assert.deepEqual(awaiting, [{ job: "j-2", tasks: 6, awaits: ["j-1"] }]);
+  const poll = b.poll("j-2");
+  assert.ok(poll?.t === "view");
+  assert.deepEqual(encodeView(poll.view), {
+    uid: "j-2",
+    phase: "queued",
+    done: 0,
+    running: 0,
+    awaits: ["j-1"],
+  });
   // 200 s after its acceptance it has waited for nothing yet.
   end(b, said);
   b.pass(1000);
