--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -53,9 +53,9 @@
   /* ---- submissions ---- */
 
   submit(uid: string, spec: JobSpec | string, answer: Answer): void {
-    const end = this.#lookup.end(uid);
-    if (end) {
-      answer({ t: "accepted", known: true, view: viewOfEnd(uid, end) });
+    const basis = this.#lookup.basis(uid);
+    if (basis.t === "over") {
+      answer({ t: "accepted", known: true, view: viewOfEnd(uid, basis.end) });
       return;
     }
     if (typeof spec === "string") this.#refuseUnlessKnown(uid, { t: "malformed", error: spec }, answer);
@@ -156,18 +156,18 @@
   /* ---- questions ---- */
 
   poll(uid: string, answer: Answer): void {
-    const end = this.#lookup.end(uid);
-    if (end) {
-      answer({ t: "view", view: viewOfEnd(uid, end) });
-      return;
-    }
+    if (this.#answerFromMemory(uid, answer)) return;
+    this.#gathered.push({ uid, answer });
+    if (this.#gathered.length >= this.#mostConditions) this.comparePolls();
+  }
+
+  /** What never changes is answered without asking, and what this node has not read is read. */
+  #answerFromMemory(uid: string, answer: Answer): boolean {
     const basis = this.#lookup.basis(uid);
-    if (basis.t === "cancelled") answer({ t: "view", view: this.#viewOf(uid, true) });
+    if (basis.t === "over") answer({ t: "view", view: viewOfEnd(uid, basis.end) });
+    else if (basis.t === "cancelled") answer({ t: "view", view: this.#viewOf(uid, true) });
     else if (basis.t === "unread") this.#read(uid, answer);
-    else {
-      this.#gathered.push({ uid, answer });
-      if (this.#gathered.length >= this.#mostConditions) this.comparePolls();
-    }
+    return basis.t !== "versions";
   }
 
   get #mostConditions(): number {
@@ -185,6 +185,8 @@
     let together: Poll[] = [];
     let conditions = new Map<string, number>();
     for (const poll of polls) {
+      // Since it was gathered the job may have been read as over: a comparison with nothing to compare would hold.
+      if (this.#answerFromMemory(poll.uid, poll.answer)) continue;
       const basis = this.#lookup.basis(poll.uid);
       if (basis.t !== "versions" || basis.conditions.length > this.#mostConditions) {
         this.#read(poll.uid, poll.answer);
--- a/src/core/job-lookup.ts
+++ b/src/core/job-lookup.ts
@@ -32,8 +32,10 @@
   readonly awaits: readonly string[];
 }
 
-/** What the answer about an unfinished job rests on. */
+/** What the answer about a job rests on. */
 export type Basis =
+  /** Its final state: this never changes. */
+  | { readonly t: "over"; readonly end: KnownEnd }
   /** Cancelled, by its own record or that of a job it needs: this never changes. */
   | { readonly t: "cancelled" }
   /** Neither, as long as these versions are still the present ones. */
@@ -56,10 +58,6 @@
     this.#ctx = ctx;
   }
 
-  end(uid: string): KnownEnd | undefined {
-    return this.#finals.get(uid);
-  }
-
   /** Whether a job that was accepted is a service; undefined if this node has not read it. */
   isService(uid: string): boolean | undefined {
     return this.#finals.get(uid)?.service ?? this.#seen.get(uid)?.service;
@@ -168,6 +166,8 @@
 
   /** What an answer about a job that this node has read rests on, without asking the state service. */
   basis(uid: string): Basis {
+    const known = this.#finals.get(uid);
+    if (known) return { t: "over", end: known };
     const conditions: StateCondition[] = [];
     const visited = new Set<string>();
     const open = [uid];
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -1,5 +1,5 @@
 import net from "node:net";
-import { PackrStream, UnpackrStream } from "msgpackr";
+import { Packr, UnpackrStream } from "msgpackr";
 import * as v from "valibot";
 import type { Settings } from "../config/settings.js";
 import type { PeerMessage } from "../core/types.js";
@@ -38,8 +38,7 @@
 }
 
 interface Link {
-  socket: net.Socket;
-  stream: PackrStream;
+  readonly socket: net.Socket;
   up: boolean;
 }
 
@@ -49,6 +48,7 @@
   readonly #events: PeerEvents;
   readonly #links = new Map<string, Link>();
   readonly #server: net.Server;
+  readonly #packr = new Packr({ useRecords: false });
   /** The connection each peer last said hello on. */
   readonly #accepted = new Map<string, net.Socket>();
 
@@ -65,37 +65,31 @@
     for (const peer of this.#settings.peers) this.#connect(peer.node, peer.at.host, peer.at.port);
   }
 
-  /** Messages to a peer that can't be reached are dropped: nothing depends on any one of them. */
+  /**
+   * Messages to a peer that can't be reached are dropped: nothing depends on any one of them. They are packed at once:
+   * a stream in between kept those for a peer that doesn't read as objects, which no bound of bytes counted.
+   */
   send(to: string, message: PeerMessage): void {
     const link = this.#links.get(to);
     if (!link?.up) return;
-    if (
-      link.socket.writableLength + link.stream.readableLength >
-      this.#settings.maxConnections * BACKLOG_EACH
-    ) {
-      link.socket.destroy();
-      return;
-    }
-    link.stream.write(message);
+    if (link.socket.writableLength > this.#settings.maxConnections * BACKLOG_EACH) link.socket.destroy();
+    else link.socket.write(this.#packr.pack(message));
   }
 
   #connect(node: string, host: string, port: number): void {
     const socket = net.connect({ host, port, noDelay: true });
-    const stream = new PackrStream({ useRecords: false });
-    const link: Link = { socket, stream, up: false };
+    const link: Link = { socket, up: false };
     this.#links.set(node, link);
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     socket.on("connect", () => {
       clearTimeout(timer);
       link.up = true;
-      stream.pipe(socket);
-      stream.write({ t: "hello", node: this.#settings.deployment.node });
+      socket.write(this.#packr.pack({ t: "hello", node: this.#settings.deployment.node }));
       this.#events.link(node, true);
     });
     socket.on("error", () => {});
     socket.on("close", () => {
       clearTimeout(timer);
-      stream.destroy();
       if (link.up) this.#events.link(node, false);
       link.up = false;
       setTimeout(() => this.#connect(node, host, port), RECONNECT_MS);
--- /dev/null
+++ b/test/bounded-memory.test.ts
@@ -0,0 +1,180 @@
+import assert from "node:assert/strict";
+import net, { type AddressInfo } from "node:net";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { isMainThread, parentPort, Worker } from "node:worker_threads";
+import { parseSettings } from "../src/config/settings.js";
+import type { PeerMessage } from "../src/core/types.js";
+import { createServer, type RequestHandler } from "../src/shell/api.js";
+import { Peers } from "../src/shell/peers.js";
+import { shareSockets } from "../src/shell/sockets.js";
+import { SETTINGS } from "./settings.js";
+
+const LOOPBACK = "127.0.0.1";
+const MB = 1024 * 1024;
+/** Messages of 13 KB, far more than may be kept for a peer. */
+const MOST_SENT = 4000;
+
+async function listen(server: net.Server): Promise<number> {
+  await new Promise<void>((listening) => server.listen(0, LOOPBACK, listening));
+  return (server.address() as AddressInfo).port;
+}
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** Bytes that are kept, by the heap and outside it. */
+function inUse(): number {
+  collectGarbage();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** A peer that accepts and never reads; offered far more than may be kept for it. Returns what was kept at the most. */
+async function offerToStalledPeer(): Promise<{ kept: number; sent: number; lost: number }> {
+  const stalled = net.createServer((socket) => socket.pause());
+  const at = { host: LOOPBACK, port: await listen(stalled) };
+  const base = parseSettings(SETTINGS);
+  const links: boolean[] = [];
+  const peers = new Peers(
+    { ...base, maxConnections: 256, peerListen: { host: LOOPBACK, port: 0 }, peers: [{ node: "n1", at }] },
+    { link: (_node, up) => links.push(up), message: () => {} },
+  );
+  peers.listen((error) => {
+    throw error;
+  });
+  const before = inUse();
+  let kept = 0;
+  let sent = 0;
+  while (!links.includes(false)) {
+    const body = { pieces: Array.from({ length: 1024 }, () => "0123456789ab") };
+    const message: PeerMessage = { t: "reports", list: [{ id: 1, body }] };
+    peers.send("n1", message);
+    if (links.includes(true)) sent++;
+    if (sent % 100 === 1) kept = Math.max(kept, inUse() - before);
+    if (sent > MOST_SENT) break;
+    await new Promise((next) => setImmediate(next));
+  }
+  return { kept, sent, lost: links.filter((up) => !up).length };
+}
+
+class NoHandler implements RequestHandler {
+  readonly ready = true;
+  readonly overloaded = false;
+  taken = 0;
+  submit(): void {
+    this.taken++;
+  }
+  poll(): void {}
+  cancel(): void {}
+  admin(): void {}
+  report(body: unknown): boolean {
+    if (body !== undefined) this.taken++;
+    return false;
+  }
+  metrics(): Promise<{ type: string; text: string }> {
+    return Promise.resolve({ type: "text/plain", text: "" });
+  }
+}
+
+/** Sends a body of so many bytes in pieces, without saying how long it will be; the status line of the answer. */
+function stream(port: number, path: string, bytes: number, watch: () => void): Promise<string> {
+  const piece = Buffer.alloc(64 * 1024, "x");
+  return new Promise((then) => {
+    const socket = net.connect(port, LOOPBACK);
+    socket.on("error", () => then("closed"));
+    socket.on("close", () => then("closed"));
+    socket.on("data", (data) => {
+      then(data.toString("utf8").split("\r\n")[0] ?? "");
+      socket.destroy();
+    });
+    socket.write(`POST ${path} HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n`);
+    let left = bytes;
+    const next = () => {
+      watch();
+      if (socket.destroyed) return;
+      if (left <= 0) {
+        socket.write("0\r\n\r\n");
+        return;
+      }
+      left -= piece.length;
+      socket.write(`${piece.length.toString(16)}\r\n`);
+      socket.write(piece);
+      if (socket.write("\r\n")) setImmediate(next);
+      else socket.once("drain", next);
+    };
+    next();
+  });
+}
+
+if (isMainThread) {
+  // Guarded against: a peer that stands still while reports are passed on to it costs a controller its memory.
+  test("a peer that does not read costs a bounded amount of memory, and its link", async () => {
+    const worker = new Worker(fileURLToPath(import.meta.url));
+    try {
+      const result = await new Promise<Awaited<ReturnType<typeof offerToStalledPeer>>>((then, fail) => {
+        worker.once("message", then);
+        worker.once("error", fail);
+      });
+      assert.equal(result.lost, 1, `the link is given up: ${JSON.stringify(result)}`);
+      // 2 KiB for each of its 256 connections, and what is in the making; the rest lies in the kernel's buffers.
+      assert.ok(result.kept < 8 * MB, JSON.stringify(result));
+    } finally {
+      await worker.terminate();
+    }
+  });
+
+  test("an oversized body that comes in pieces is refused without being kept, on every path", async () => {
+    const handler = new NoHandler();
+    const server = createServer(handler, shareSockets(100));
+    const port = await listen(server);
+    try {
+      for (const path of ["/api/jobs", "/agent/beat"]) {
+        const before = inUse();
+        let kept = 0;
+        let pieces = 0;
+        const status = await stream(port, path, 64 * MB, () => {
+          if (pieces++ % 64 === 0) kept = Math.max(kept, inUse() - before);
+        });
+        assert.match(status, /^HTTP\/1\.1 400|^closed/, path);
+        assert.ok(kept < 8 * MB, `${path}: ${Math.round(kept / MB)} MB were kept`);
+      }
+      assert.equal(handler.taken, 0);
+    } finally {
+      server.close();
+      server.closeAllConnections();
+    }
+  });
+
+  test("a body that comes byte by byte is read as one; half a request costs its connection alone", async () => {
+    const handler = new NoHandler();
+    const server = createServer(handler, shareSockets(100));
+    const port = await listen(server);
+    try {
+      const half = net.connect(port, LOOPBACK);
+      half.write("POST /agent/beat HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{");
+      const text = '{"host":"i-1"}';
+      const status = await new Promise<string>((then) => {
+        const socket = net.connect(port, LOOPBACK);
+        socket.on("data", (data) => then(data.toString("utf8").split("\r\n")[0] ?? ""));
+        const whole = `POST /agent/beat HTTP/1.1\r\nhost: x\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+        const send = (i: number) => {
+          if (i === whole.length) return;
+          socket.write(whole.charAt(i));
+          setImmediate(() => send(i + 1));
+        };
+        send(0);
+      });
+      assert.equal(status, "HTTP/1.1 400 Bad Request");
+      assert.equal(handler.taken, 1, "it was read as JSON");
+      half.destroy();
+    } finally {
+      server.close();
+      server.closeAllConnections();
+    }
+  });
+} else {
+  parentPort?.postMessage(await offerToStalledPeer());
+}
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -310,6 +310,23 @@
   assert.equal(b.submit(job("j-4", { awaits: ["j-1"] }))?.t, "accepted");
 });
 
+test("a poll that waits to be compared while its job is read as over is answered with that, never with less", () => {
+  // Found on the bench: the comparison had nothing left to compare, held, and the job that was done was called running.
+  const { b, said } = waiting();
+  const other = new Bench("n1", b.state);
+  other.pass(300);
+  assert.equal(phaseOf(other.poll("j-1")), "queued");
+  assert.equal(phaseOf(other.poll("j-2")), "queued");
+  end(b, said);
+  b.pass(500);
+  other.give({ t: "poll", req: 901, uid: "j-1" }, { t: "poll", req: 902, uid: "j-2" });
+  // A repeated submission reads what is on record, in the same tick.
+  assert.equal(phaseOf(other.submit(job("j-1"))), "done");
+  other.give({ t: "tick" });
+  assert.equal(phaseOf(other.toldUser(901)), "done");
+  assert.equal(phaseOf(other.toldUser(902)), "queued");
+});
+
 test("polls of pipelines compare within the operations limit, and re-read only what failed", () => {
   const b = new Bench("n0", new StateService(), "n0-1", { txnOps: 4, stateNext: null }).lead();
   for (let i = 1; i <= 30; i++)
