--- a/src/core/names.ts
+++ b/src/core/names.ts
@@ -6,15 +6,22 @@
   readonly #index = new Map<string, number>();
   readonly #names: (string | undefined)[] = [];
   readonly #free: number[] = [];
+  /** The batch before which each index was last given out. */
+  readonly #givenIn: number[] = [];
+  #batch = 0;
   #retired: number[] = [];
   #retiring: number[] = [];
 
   intern(name: string): number {
     const known = this.#index.get(name);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      this.#givenIn[known] = this.#batch;
+      return known;
+    }
     const index = this.#free.pop() ?? this.#names.length;
     this.#names[index] = name;
     this.#index.set(name, index);
+    this.#givenIn[index] = this.#batch;
     return index;
   }
 
@@ -28,10 +35,13 @@
     return name;
   }
 
-  /** Frees every index that `keep` does not hold. */
+  /**
+   * Frees every index that `keep` does not hold, save those that commands of this batch may carry: what they bring is
+   * known as in use only once they are worked off.
+   */
   sweep(keep: ReadonlySet<number>): void {
     for (const [name, index] of this.#index) {
-      if (keep.has(index)) continue;
+      if (keep.has(index) || (this.#givenIn[index] ?? 0) >= this.#batch - 1) continue;
       this.#index.delete(name);
       this.#retiring.push(index);
     }
@@ -39,6 +49,7 @@
 
   /** Called once at the start of each batch. */
   turn(): void {
+    this.#batch++;
     if (this.#retired.length === 0 && this.#retiring.length === 0) return;
     for (const index of this.#retired) {
       this.#names[index] = undefined;
--- a/src/shell/loop.ts
+++ b/src/shell/loop.ts
@@ -100,11 +100,20 @@
     const end = now + this.#controller.ctx.settings.round_budget_ms;
     const budget: Budget = { spent: () => performance.now() >= end };
     this.batches++;
-    for (const effect of this.#controller.handle(batch, now, budget)) this.#run(effect);
+    for (const effect of this.#controller.handle(batch, now, budget)) this.#runGuarded(effect);
     for (const [to, list] of this.#answering) this.#peers.send(to, { t: "reportAnswers", list });
     this.#answering.clear();
   }
 
+  /** A fault in carrying out one effect costs that effect, not the process: what it owes an answer times out. */
+  #runGuarded(effect: Effect): void {
+    try {
+      this.#run(effect);
+    } catch (error) {
+      this.#log.error({ effect: effect.t, error: (error as Error).stack }, "fault in an effect");
+    }
+  }
+
   #run(effect: Effect): void {
     switch (effect.t) {
       case "answer":
--- a/test/names.test.ts
+++ b/test/names.test.ts
@@ -5,6 +5,8 @@
 test("a freed index is not given out while commands mapped earlier may still carry it", () => {
   const names = new Names();
   const a = names.intern("a");
+  names.turn();
+  names.turn();
   names.sweep(new Set());
   assert.notEqual(names.intern("b"), a);
   names.turn();
@@ -14,3 +16,25 @@
   assert.equal(names.intern("d"), a);
   assert.equal(names.name(a), "d");
 });
+
+// Guarded against: a report brings a name that nothing else holds, and in the same batch, before it is worked off, the
+// names are swept. What is then kept of the report carried an index without a name, and its answer ended the process.
+test("a name that a command of this batch brings is not swept before the command is worked off", () => {
+  const names = new Names();
+  names.turn();
+  const a = names.intern("a");
+  names.turn();
+  names.sweep(new Set());
+  names.turn();
+  names.turn();
+  names.turn();
+  assert.equal(names.name(a), "a");
+  assert.equal(names.intern("a"), a);
+  // Not brought again, it goes as any other.
+  names.turn();
+  names.turn();
+  names.sweep(new Set());
+  names.turn();
+  names.turn();
+  assert.throws(() => names.name(a), RangeError);
+});
