--- a/src/core/gpu-reserve.ts
+++ b/src/core/gpu-reserve.ts
@@ -106,7 +106,7 @@
     const leadS = type.bootS + kind.imageGb / Math.max(0.01, type.fetchGbPerS);
     const likely = (asked / Math.max(1, settings.spare_window_s)) * leadS;
     const spare = asked === 0 ? 0 : Math.ceil(settings.spare_factor * Math.sqrt(likely));
-    this.#scheduler.leaveRoom(type.name, kind.need, spare);
+    this.#scheduler.candidates.leaveRoom(type.name, kind.need, spare);
     let waiting = 0;
     // What the provisioner would rent for small work is not given back while such work waits: that was a wheel of
     // spot machines hired, charged their minute, and returned.
--- a/src/core/provisioner.ts
+++ b/src/core/provisioner.ts
@@ -194,7 +194,7 @@
             machine.type?.size.gpu === 0 &&
             now - machine.idleSince > settings.idle_s * 1000 &&
             now - machine.bootingSince > MIN_CHARGE_MS &&
-            this.#scheduler.blocked.every(({ job }) => !this.#scheduler.allows(job, machine))
+            this.#scheduler.blocked.every(({ job }) => !this.#scheduler.candidates.allows(job, machine))
           ) {
             this.#giveUp(machine, "idle");
           }
@@ -342,7 +342,8 @@
   ): string | null {
     const room = new Map<string, number>();
     for (const machine of this.#tables.machines.values()) {
-      if (!this.#scheduler.usable(machine) || !this.#scheduler.allows(job, machine)) continue;
+      if (!this.#scheduler.candidates.usable(machine) || !this.#scheduler.candidates.allows(job, machine))
+        continue;
       room.set(machine.zone, (room.get(machine.zone) ?? 0) + times(job.spec.need, machine.room()));
     }
     for (const { offer, slots: rooms } of coming.values()) {
--- a/src/core/rebalancer.ts
+++ b/src/core/rebalancer.ts
@@ -100,7 +100,7 @@
   #round(): void {
     const { settings, random } = this.#ctx;
     for (const machine of this.#tables.machines.values()) {
-      if (!this.#isCold(machine) || !this.#scheduler.usable(machine)) continue;
+      if (!this.#isCold(machine) || !this.#scheduler.candidates.usable(machine)) continue;
       const replicas = [...machine.placements].filter((p) => p.job.spec.shape === "service");
       if (replicas.length === 0 || !this.#allFitElsewhere(machine, replicas)) continue;
       // Crash-looping replicas would waste the one move.
@@ -164,7 +164,8 @@
     let bestShare = -1;
     for (const machine of this.#tables.machines.values()) {
       if (machine === from || machine.retiring || this.#isCold(machine)) continue;
-      if (!this.#scheduler.usable(machine) || !this.#scheduler.allows(job, machine)) continue;
+      if (!this.#scheduler.candidates.usable(machine) || !this.#scheduler.candidates.allows(job, machine))
+        continue;
       const size = machine.type?.size.cpu ?? 0;
       if (size === 0) continue;
       const planned = extra.get(machine) ?? 0;
@@ -205,7 +206,7 @@
         else if (now - pending.since < settings.move_drain_s * 1000) {
           // A new leader has yet to hear from the target: only a lost one ends the move before the drain is over.
           if (to.lost || to.phase === "releasing") this.#finish(pending, "the target is lost");
-        } else if (!this.#scheduler.usable(to)) this.#finish(pending, "the target can't be used");
+        } else if (!this.#scheduler.candidates.usable(to)) this.#finish(pending, "the target can't be used");
         else {
           pending.phase = "stopping";
           pending.since = now;
@@ -234,7 +235,7 @@
     to.booked = add(to.booked, job.spec.need, -1);
     const wellPlaced =
       job.state === "active" &&
-      this.#scheduler.usable(to) &&
+      this.#scheduler.candidates.usable(to) &&
       fits(job.spec.need, to.room()) &&
       this.#scheduler.withinLimit(job) > 0 &&
       this.#zonesAllow(job, from, to) &&
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,4 +1,5 @@
-import { add, fits, times, ZERO } from "./amount.js";
+import { add, times, ZERO } from "./amount.js";
+import { Candidates } from "./candidates.js";
 import type { Budget, Context } from "./context.js";
 import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
@@ -7,34 +8,17 @@
 import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
 import { Reservations } from "./reservations.js";
-import {
-  attemptOf,
-  countersLeft,
-  type Job,
-  type Machine,
-  type Placement,
-  suitsType,
-  type Tables,
-} from "./tables.js";
-import type { Amount } from "./types.js";
+import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
 
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
 /** What a free machine more in a zone weighs, in seconds of delay, when a gang's zone is chosen. */
 const ZONE_FILL_S = 0.5;
-/** Boots take up to half as long again as the catalogue says. */
-const BOOT_PATIENCE = 1.5;
-/** What it weighs, in seconds of delay, to put work without GPUs on a machine that has some. */
-const GPU_WASTE_S = 60;
-/** The same for work that can save: it leaves the plain machines to what can go nowhere else. */
-const SAVING_WASTE_S = 5;
-const FULLEST_S = 5;
 const AGED_PART = 4;
 /** A service without its image anywhere brings it to so many machines at once. */
 const FETCHERS = 4;
 /** What began because of its age is left alone so long. */
 const SPARED_MS = 60_000;
-const FAILURE_S = 20;
 
 export interface Blocked {
   readonly job: Job;
@@ -53,12 +37,7 @@
   #counterToken = 0;
   /** Where an interrupted round goes on. */
   #resume: { readonly queue: readonly Blocked[]; at: number } | null = null;
-  /** The machines that can take work, by type, as of this call: a round asks for them once a job. */
-  #open = new Map<string, Machine[]>();
-  /** Those of them with room for the least that any waiting job asks for: in a loaded fleet, few. */
-  #roomy = new Map<string, Machine[]>();
-  /** The last job's choice of machines was narrowed by what is its own: its image, its patience, its failures. */
-  #narrowed = false;
+  readonly candidates: Candidates;
   readonly #failedFits: FailedFits;
   readonly #reservations: Reservations;
   readonly preemption: Preemption;
@@ -66,8 +45,6 @@
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
   roundsCut = 0;
-  /** Counts machines looked at for some job: what a round's work is made of. */
-  looked = 0;
 
   constructor(ctx: Context, term: Term, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
@@ -77,7 +54,8 @@
     this.#recorder = recorder;
     this.#failedFits = new FailedFits(ctx);
     this.#reservations = new Reservations(ctx);
-    this.preemption = new Preemption(ctx, tables, fleet, (job, below) => this.#candidates(job, below));
+    this.candidates = new Candidates(ctx, tables);
+    this.preemption = new Preemption(ctx, tables, fleet, (job, below) => this.candidates.of(job, below));
   }
 
   /** False when the time was spent before the end: call again. */
@@ -86,7 +64,8 @@
     if (this.#resume === null) this.#found = [];
     this.#resume = null;
     const { queue } = resume;
-    this.#survey(queue);
+    this.#failedFits.clear();
+    this.candidates.survey(queue.map(({ job }) => job));
     for (let i = resume.at; i < queue.length; i++) {
       if (i > resume.at && budget.spent()) {
         this.#resume = { queue, at: i };
@@ -100,23 +79,6 @@
     return true;
   }
 
-  #survey(queue: readonly Blocked[]): void {
-    this.#open = new Map();
-    this.#roomy = new Map();
-    this.#failedFits.clear();
-    let [cpu, ram] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
-    for (const { job } of queue) {
-      cpu = Math.min(cpu, job.spec.need.cpu);
-      ram = Math.min(ram, job.spec.need.ram);
-    }
-    const least = { cpu, gpu: 0, ram };
-    for (const machine of this.#tables.machines.values()) {
-      if (!this.usable(machine)) continue;
-      listed(this.#open, machine.typeName).push(machine);
-      if (machine.hasRoom(least)) listed(this.#roomy, machine.typeName).push(machine);
-    }
-  }
-
   #queue(): Blocked[] {
     const { now } = this.#ctx;
     const jobs = [...this.#tables.jobs.values()]
@@ -207,7 +169,7 @@
     const leftS = withinS === null ? 0 : withinS - (this.#ctx.wallMs - job.since) / 1000;
     const knownToFail = this.#failedFits.has(job, job.spec.tasks);
     if (leftS > 0) {
-      const quick = (machine: Machine) => this.#imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
+      const quick = (machine: Machine) => this.candidates.imageWaitS(job, machine) * FETCH_SPREAD <= leftS;
       if (!knownToFail && this.#placeGang(job, quick)) return;
       if ((job.awaitedUntil ?? 0) > now) return;
       if (
@@ -220,7 +182,7 @@
     }
     if (!knownToFail) {
       if (this.#placeGang(job, () => true)) return;
-      if (!this.#narrowed) this.#failedFits.add(job, job.spec.tasks);
+      if (!this.candidates.narrowed) this.#failedFits.add(job, job.spec.tasks);
     }
     this.#noPlace(entry, job.spec.tasks);
   }
@@ -235,7 +197,7 @@
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
     const aged = isAged(this.#ctx, job);
-    if (aged || isPressed(this.#ctx, job)) this.#reservations.holdZone(job, aged, this.#candidates(job));
+    if (aged || isPressed(this.#ctx, job)) this.#reservations.holdZone(job, aged, this.candidates.of(job));
   }
 
   /** How many more tasks of this job its team's limit allows. */
@@ -250,160 +212,12 @@
     return Math.max(0, n);
   }
 
-  /** May tasks of this job be put on this machine at all, room and fellow tasks aside? */
-  allows(job: Job, machine: Machine): boolean {
-    const { types, zone, spot } = job.spec;
-    return (
-      (types === null || types.includes(machine.typeName)) &&
-      (zone === null || zone === machine.zone) &&
-      (spot || !machine.spot)
-    );
-  }
-
-  usable(machine: Machine): boolean {
-    const { now, deployment } = this.#ctx;
-    return (
-      machine.phase === "up" &&
-      !machine.lost &&
-      machine.mode === "open" &&
-      machine.type !== null &&
-      // A report without this term's token may be a late copy: a hint of what is there, not a sign of life.
-      machine.adoptedAt !== null &&
-      machine.unreachableSince === null &&
-      machine.noticeUntil === null &&
-      machine.blockedUntil <= now &&
-      now - machine.heardAt < deployment.reportS * 2500 + 500
-    );
-  }
-
-  /** Machines with room for a task of the job, if what work below a priority uses is counted as room. */
-  #candidates(job: Job, below = 0): Machine[] {
-    const { now } = this.#ctx;
-    const found: Machine[] = [];
-    this.#narrowed = job.spec.shape === "service";
-    // Within a round room only shrinks, unless something is stopped for it: without that few machines need a look.
-    for (const list of (below === 0 ? this.#roomy : this.#open).values()) {
-      const type = list[0]?.type;
-      if (!type || !suitsType(job.spec, type)) continue;
-      this.looked += list.length;
-      for (const machine of list) {
-        if (!machine.hasRoom(job.spec.need, below) || !this.allows(job, machine)) continue;
-        const held = machine.reserved;
-        if (held) {
-          if (held.until <= now || held.job.pending === 0) machine.reserved = null;
-          else if (held.job !== job && (held.firm || held.job.priority >= job.priority)) continue;
-        }
-        if (this.#wastesGpus(job, machine)) continue;
-        const failedHere = job.failedOn.has(machine.ix) && job.failedOn.size < this.#tables.machines.size / 2;
-        if (failedHere || this.#slowsFetch(job, machine)) {
-          this.#narrowed = true;
-          continue;
-        }
-        found.push(machine);
-      }
-    }
-    return found;
-  }
-
-  readonly #room = new Map<string, { need: Amount | null; spare: number }>();
-
-  /** So many machines of this type are to be left with room for GPU work. */
-  leaveRoom(type: string, need: Amount | null, spare: number): void {
-    this.#room.set(type, { need, spare });
-  }
-
-  /** Would small work here take the room of GPU work? Not where the GPUs are taken, or enough is left beside it. */
-  #inTheWay(job: Job, machine: Machine): boolean {
-    if (job.spec.need.gpu > 0 || (machine.type?.size.gpu ?? 0) === 0) return false;
-    const need = this.#room.get(machine.typeName)?.need;
-    if (!need) return false;
-    const room = machine.room();
-    return fits(need, room) && !fits(need, add(room, job.spec.need, -1));
-  }
-
-  /**
-   * Work without GPUs is put in the way of GPU work only if it can save and leave when it has to make room, or while
-   * more machines than the spare ones are free.
-   */
-  #wastesGpus(job: Job, machine: Machine): boolean {
-    if (job.spec.need.gpu > 0) return false;
-    if (machine.retiring) return true;
-    // A service never ends: it would keep a dear machine for good. One placed there at a cold start held a
-    // fifth of the GPUs all day; so it waits for as long as a plain machine takes to come.
-    if (job.spec.shape === "service" && (machine.type?.size.gpu ?? 0) > 0) {
-      const bootS = this.#plainBootS(job);
-      const waitedMs = job.blockedSince === null ? 0 : this.#ctx.now - job.blockedSince;
-      if (bootS !== null && waitedMs < bootS * BOOT_PATIENCE * 1000) return true;
-    }
-    if (!this.#inTheWay(job, machine)) return false;
-    // What begins because of its age is spared for a while, and so can't leave: after a failover aged arrays filled a
-    // fifth of the GPU machines, which gangs waited for until the minute was over.
-    if (job.spec.checkpointS > 0 && !isAged(this.#ctx, job)) return false;
-    const keep = this.#room.get(machine.typeName);
-    if (!keep?.need) return false;
-    return this.#freeFor(machine.typeName, keep.need) <= keep.spare;
-  }
-
-  readonly #free = new Map<string, { changes: number; open: Machine[]; count: number }>();
-
-  /** How many machines of a type have room for GPU work; counted anew only after something was placed or gone. */
-  #freeFor(type: string, need: Amount): number {
-    const open = this.#open.get(type) ?? [];
-    const { changes } = this.#tables;
-    const known = this.#free.get(type);
-    if (known && known.changes === changes && known.open === open) return known.count;
-    let count = 0;
-    for (const machine of open) if (machine.hasRoom(need)) count++;
-    this.#free.set(type, { changes, open, count });
-    return count;
-  }
-
-  /** Fetches share a machine's line: another image would slow the one that a more important gang waits for. */
-  #slowsFetch(job: Job, machine: Machine): boolean {
-    if (machine.images.has(job.spec.image)) return false;
-    for (const { job: other, seen } of machine.placements) {
-      if (other.spec.shape !== "gang" || other.priority <= job.priority) continue;
-      if (seen === null || seen === "fetching") return true;
-    }
-    return false;
-  }
-
-  /** How long the quickest type without GPUs that the job fits takes to boot; null if there is none. */
-  #plainBootS({ spec }: Job): number | null {
-    let least: number | null = null;
-    for (const type of this.#tables.types.values()) {
-      if (type.size.gpu > 0 || !suitsType(spec, type)) continue;
-      if (least === null || type.bootS < least) least = type.bootS;
-    }
-    return least;
-  }
-
-  /** Lower is better, in seconds: waiting for the image, wasting GPUs; then the fullest that fits. */
-  score(job: Job, machine: Machine): number {
-    let s = machine.failures * FAILURE_S + this.#imageWaitS(job, machine);
-    // A service that must fetch its image anyway brings it where its fellows to come will find room: on machines full of
-    // other services an image serves nobody else.
-    if (job.spec.shape === "service" && !machine.images.has(job.spec.image))
-      s += FULLEST_S * machine.shareOf(3);
-    else s -= FULLEST_S * machine.share();
-    if (machine.retiring) s += GPU_WASTE_S;
-    else if (this.#inTheWay(job, machine)) s += job.spec.checkpointS > 0 ? SAVING_WASTE_S : GPU_WASTE_S;
-    return s;
-  }
-
-  #ranked(job: Job): Machine[] {
-    return this.#candidates(job)
-      .map((machine) => ({ machine, score: this.score(job, machine) }))
-      .sort((a, b) => a.score - b.score || a.machine.ix - b.machine.ix)
-      .map(({ machine }) => machine);
-  }
-
   #placeMany(job: Job, count: number): number {
     const withinS = waitAimS(this.#ctx, job);
     if (withinS === null) return this.#fillAny(job, count);
     const leftS = withinS - (this.#ctx.wallMs - job.since) / 1000;
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
-    const quick = (machine: Machine) => this.#imageWaitS(job, machine) <= withinS;
+    const quick = (machine: Machine) => this.candidates.imageWaitS(job, machine) <= withinS;
     let placed = this.#failedFits.has(job, 1) ? 0 : this.#fill(job, count, quick);
     if (placed < count && job.priority >= 2) {
       placed += this.preemption.makeRoom(job, count - placed, false, quick, Math.max(0, leftS));
@@ -415,20 +229,14 @@
   #fillAny(job: Job, count: number): number {
     if (this.#failedFits.has(job, 1)) return 0;
     const placed = this.#fill(job, count, () => true);
-    if (placed < count && !this.#narrowed) this.#failedFits.add(job, 1);
+    if (placed < count && !this.candidates.narrowed) this.#failedFits.add(job, 1);
     return placed;
   }
 
-  #imageWaitS(job: Job, machine: Machine): number {
-    const image = machine.images.get(job.spec.image);
-    if (image) return Math.max(0, image.readyAt - this.#ctx.now) / 1000;
-    return job.spec.imageGb / Math.max(0.01, machine.type?.fetchGbPerS ?? 1);
-  }
-
   #fill(job: Job, count: number, suits: (machine: Machine) => boolean): number {
     let placed = 0;
     const { oneZone, spread, tasks, shape, image } = job.spec;
-    const machines = this.#ranked(job).filter(suits);
+    const machines = this.candidates.ranked(job).filter(suits);
     const zoneCap = spread ? Math.ceil(tasks / 2) : Number.POSITIVE_INFINITY;
     let onlyZone: string | null = null;
     if (oneZone) {
@@ -439,7 +247,7 @@
       if (placed >= count) break;
       if (onlyZone !== null && machine.zone !== onlyZone) continue;
       // Placing on one machine may have used up what can be spared of its kind.
-      if (placed > 0 && this.#wastesGpus(job, machine)) continue;
+      if (placed > 0 && this.candidates.wastesGpus(job, machine)) continue;
       let n = Math.min(count - placed, times(job.spec.need, machine.room()));
       if (spread) n = Math.min(n, zoneCap - job.inZone(machine.zone));
       if (shape === "service" && !machine.images.has(image)) n = Math.min(n, Math.ceil(tasks / FETCHERS));
@@ -455,7 +263,7 @@
 
   #placeGang(job: Job, suits: (machine: Machine) => boolean): boolean {
     const { need, tasks, oneZone, spread } = job.spec;
-    const ranked = this.#ranked(job).filter(suits);
+    const ranked = this.candidates.ranked(job).filter(suits);
     const zones = oneZone ? [...new Set(ranked.map((machine) => machine.zone))] : [null];
     let best: { slots: Machine[]; cost: number } | null = null;
     for (const zone of zones) {
@@ -468,7 +276,7 @@
         if (spread) n = Math.min(n, Math.ceil(tasks / 2) - (perZone.get(machine.zone) ?? 0));
         if (n <= 0) continue;
         perZone.set(machine.zone, (perZone.get(machine.zone) ?? 0) + n);
-        cost = Math.max(cost, this.score(job, machine));
+        cost = Math.max(cost, this.candidates.score(job, machine));
         for (let i = 0; i < n; i++) slots.push(machine);
       }
       const free = ranked.filter((machine) => machine.zone === zone).length;
@@ -530,12 +338,3 @@
     return placement;
   }
 }
-
-function listed(lists: Map<string, Machine[]>, key: string): Machine[] {
-  let list = lists.get(key);
-  if (!list) {
-    list = [];
-    lists.set(key, list);
-  }
-  return list;
-}
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -37,7 +37,11 @@
       "Rounds that went over their time and were gone on with",
       leaderTerm.scheduler.roundsCut,
     );
-    gauge("machines_looked_at_total", "Machines looked at in search of places", leaderTerm.scheduler.looked);
+    gauge(
+      "machines_looked_at_total",
+      "Machines looked at in search of places",
+      leaderTerm.scheduler.candidates.looked,
+    );
     gauge("reports_compared_total", "Reports that said something new", leaderTerm.fleet.reconciled);
     gauge(
       "machines_unreachable",
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -109,14 +109,14 @@
   assert.ok(leaderTerm);
   const placed = [...leaderTerm.tables.machines.values()].reduce((sum, m) => sum + m.placements.size, 0);
   assert.equal(placed, 40, "as many as the teams' limits allow");
-  const looked = leaderTerm.scheduler.looked;
+  const looked = leaderTerm.scheduler.candidates.looked;
   const compared = leaderTerm.fleet.reconciled;
   const written = b.state.revision;
   for (let i = 0; i < 20; i++) fleet.step(3_600_000);
   // Ten seconds, ten rounds at most a second, ten jobs waiting: far fewer looks at a machine than machines x jobs.
   assert.ok(
-    leaderTerm.scheduler.looked - looked <= 2 * 1000,
-    `${leaderTerm.scheduler.looked - looked} looks`,
+    leaderTerm.scheduler.candidates.looked - looked <= 2 * 1000,
+    `${leaderTerm.scheduler.candidates.looked - looked} looks`,
   );
   assert.ok(
     leaderTerm.fleet.reconciled - compared <= 1000,
@@ -227,7 +227,7 @@
 
   // A third falls silent for good: each tick's effects stay bounded while what ran there is placed again.
   const alive = held.filter((_, i) => i % 3 !== 0);
-  const before = next.core.leaderTerm?.scheduler.looked ?? 0;
+  const before = next.core.leaderTerm?.scheduler.candidates.looked ?? 0;
   let mostSent = 0;
   for (let i = 0; i < 60; i++) {
     const sent = next.sent.length;
@@ -240,6 +240,6 @@
   assert.ok(next.core.leaderTerm, "it still leads");
   assert.deepEqual(next.faults, []);
   assert.ok(mostSent <= 2 * FENCES_IN_500_MS, `${mostSent} direct commands in half a second`);
-  const looked = (next.core.leaderTerm?.scheduler.looked ?? 0) - before;
+  const looked = (next.core.leaderTerm?.scheduler.candidates.looked ?? 0) - before;
   assert.ok(looked <= 20 * 10 * MANY, `${looked} looks at a machine for ten jobs in thirty seconds`);
 });
