Mended: a job cancelled by its user while its end was being written for another's sake stayed on record as unfinished

Found by reading: the conflict took it off the list of final records, and as it was cancelled already nothing put it back. Its answers were right; it stayed in the leader's memory. The test fails without the mend.

--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -271,16 +271,11 @@
     this.#ctx.state({ t: "get", key: KEYS.job(job.uid) }, LIST_MS, (answer) => {
       if (this.over || !this.tables.jobs.has(job.ix)) return;
       if (answer.t === "item") {
-        const before = job.version;
         this.learnJob(answer.item);
-        if (job.state === "active" && job.version !== before) {
+        // Whether or not it has changed after all, what is yet to be written is written on the version just read.
+        if (job.state === "active")
           for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
-          if (job.finishing) this.recorder.finish(job);
-        } else if (job.state === "active") {
-          // Nothing has changed after all: an earlier answer was late. Try again as it stands.
-          for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
-          if (job.finishing) this.recorder.finish(job);
-        }
+        if (job.finishing) this.recorder.finish(job);
       } else if (answer.t === "absent") {
         this.#ctx.state({ t: "get", key: KEYS.final(job.uid) }, LIST_MS, (final) => {
           if (this.over || !this.tables.jobs.has(job.ix)) return;
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -151,6 +151,25 @@
   assert.equal(phaseOf(b.submit(job("j-5", { awaits: ["j-2"] }))), "cancelled", "long after");
 });
 
+test("a job cancelled by its user while the leader ends it for the sake of another is over all the same", () => {
+  const { b } = waiting();
+  const other = new Bench("n1", b.state);
+  other.pass(300);
+  let asked = false;
+  b.stateRule = (call) => {
+    if (!asked && touchesFinal(call, "j-2")) {
+      asked = true;
+      assert.equal(phaseOf(other.cancel("j-2")), "cancelled");
+    }
+    return null;
+  };
+  b.cancel("j-1");
+  b.pass(3000);
+  assert.ok(asked);
+  assert.equal(readFinal(b.state.items.get("f/j-2")?.value)?.state, "cancelled");
+  assert.ok(!b.state.items.has("j/j-2"));
+});
+
 test("in an outage a cancellation that a node knows of is said of all that needs the job", () => {
   const { b } = waiting();
   b.cancel("j-1");
