--- a/test/bench.ts
+++ b/test/bench.ts
@@ -17,8 +17,8 @@
   StateCall,
   UserAnswer,
 } from "../src/core/types.js";
+import { deployment, TYPES } from "./deployment.js";
 import { StateService } from "./state-service.js";
-import { deployment, TYPES } from "./world.js";
 
 export interface SentOrders {
   readonly machine: string;
--- /dev/null
+++ b/test/deployment.ts
@@ -0,0 +1,61 @@
+import type { Deployment, MachineType } from "../src/core/types.js";
+
+/** The small deployment that most tests play: two zones, two teams, three nodes. */
+
+export const TYPES: readonly MachineType[] = [
+  {
+    name: "small",
+    size: { cpu: 4000, gpu: 0, ram: 16_000 },
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.3,
+    bootS: 8,
+    zones: ["a", "b"],
+  },
+  {
+    name: "gpu",
+    size: { cpu: 8000, gpu: 2000, ram: 32_000 },
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 5,
+    spotPrice: 2,
+    bootS: 12,
+    zones: ["a", "b"],
+  },
+];
+
+export const NODES = ["n0", "n1", "n2"] as const;
+
+export function deployment(node: string): Deployment {
+  return {
+    node,
+    peers: NODES.filter((n) => n !== node),
+    zones: ["a", "b"],
+    teams: [
+      {
+        name: "red",
+        guarantee: { cpu: 16_000, gpu: 2000, ram: 0 },
+        limit: { cpu: 24_000, gpu: 4000, ram: 0 },
+      },
+      {
+        name: "blue",
+        guarantee: { cpu: 8000, gpu: 2000, ram: 0 },
+        limit: { cpu: 16_000, gpu: 4000, ram: 0 },
+      },
+    ],
+    objectives: [],
+    reportS: 2,
+    leaseS: 12,
+    gangWaitS: 40,
+    gangPeerS: 5,
+    cancelS: 40,
+    stateRps: 250,
+    stateWriteRps: 100,
+    valueBytes: 8192,
+    txnOps: 32,
+    stateNext: { rps: 250, writeRps: 70, valueBytes: 2048, txnOps: 10 },
+    cloudRps: 5,
+    listLagS: 3,
+  };
+}
--- a/test/world.ts
+++ b/test/world.ts
@@ -14,128 +14,23 @@
   ReportAnswer,
   StateAnswer,
   StateCall,
-  TaskState,
   UserAnswer,
 } from "../src/core/types.js";
+import { deployment, NODES, TYPES } from "./deployment.js";
+import { LeftWaiting } from "./left-waiting.js";
+import type { Job, Worker, WorkerTask } from "./model.js";
 import { productionReads } from "./production.js";
 import { StateService } from "./state-service.js";
+import { Timeline } from "./timeline.js";
 
 /**
  * A model of everything outside the core: state service, cloud, workers, users, network. It plays in
  * virtual time from a seed, hurts the service in random ways, and checks the rules as it goes.
  */
 
-export const TYPES: readonly MachineType[] = [
-  {
-    name: "small",
-    size: { cpu: 4000, gpu: 0, ram: 16_000 },
-    cacheGb: 20,
-    fetchGbPerS: 1,
-    price: 1,
-    spotPrice: 0.3,
-    bootS: 8,
-    zones: ["a", "b"],
-  },
-  {
-    name: "gpu",
-    size: { cpu: 8000, gpu: 2000, ram: 32_000 },
-    cacheGb: 20,
-    fetchGbPerS: 1,
-    price: 5,
-    spotPrice: 2,
-    bootS: 12,
-    zones: ["a", "b"],
-  },
-];
-
-export const NODES = ["n0", "n1", "n2"] as const;
-
-export function deployment(node: string): Deployment {
-  return {
-    node,
-    peers: NODES.filter((n) => n !== node),
-    zones: ["a", "b"],
-    teams: [
-      {
-        name: "red",
-        guarantee: { cpu: 16_000, gpu: 2000, ram: 0 },
-        limit: { cpu: 24_000, gpu: 4000, ram: 0 },
-      },
-      {
-        name: "blue",
-        guarantee: { cpu: 8000, gpu: 2000, ram: 0 },
-        limit: { cpu: 16_000, gpu: 4000, ram: 0 },
-      },
-    ],
-    objectives: [],
-    reportS: 2,
-    leaseS: 12,
-    gangWaitS: 40,
-    gangPeerS: 5,
-    cancelS: 40,
-    stateRps: 250,
-    stateWriteRps: 100,
-    valueBytes: 8192,
-    txnOps: 32,
-    stateNext: { rps: 250, writeRps: 70, valueBytes: 2048, txnOps: 10 },
-    cloudRps: 5,
-    listLagS: 3,
-  };
-}
-
 /** The part of all ends and cancellations that users look at closely. */
 const CLOSE_LOOKS = 0.3;
 
-interface WorkerTask {
-  readonly uid: string;
-  readonly task: number;
-  readonly attempt: number;
-  state: TaskState;
-  cause: Report["tasks"][number]["cause"];
-  saved: boolean;
-  until: number;
-}
-
-interface Worker {
-  readonly name: string;
-  readonly type: MachineType;
-  readonly zone: string;
-  readonly spot: boolean;
-  readonly hiredAt: number;
-  upAt: number;
-  alive: boolean;
-  hungUntil: number;
-  cutUntil: number;
-  deafUntil: number;
-  /** Its reports reach no node, while direct commands reach it. */
-  muteUntil: number;
-  session: number;
-  sequence: number;
-  token: number;
-  tasks: WorkerTask[];
-  /** When the last answered report was sent, or the session began. */
-  leaseFrom: number;
-  node: number;
-  nextReport: number;
-  inFlight: number;
-  noticeAt: number | null;
-  images: Set<string>;
-}
-
-interface Job {
-  readonly spec: JobSpec;
-  acceptedAt: number | null;
-  cancelAsked: boolean;
-  cancelledAt: number | null;
-  toldDone: boolean;
-  /** When a question about it was last answered. */
-  answeredAt: number;
-  readonly done: Set<number>;
-  finishedAt: number | null;
-  /** Since when tasks of it wait though there is a place for them; null while there is none. */
-  leftSince: number | null;
-}
-
 interface Node {
   /** It is yet to be upgraded: it neither says nor hears which protocol others speak. */
   old: boolean;
@@ -197,66 +92,6 @@
   readonly upgrade: boolean;
 }
 
-interface Event {
-  readonly at: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
-/** A binary heap of events: the earliest first, and among equals the first made. */
-class Timeline {
-  readonly #heap: Event[] = [];
-  #order = 0;
-
-  add(at: number, run: () => void): void {
-    const heap = this.#heap;
-    heap.push({ at, order: this.#order++, run });
-    let i = heap.length - 1;
-    while (i > 0) {
-      const parent = (i - 1) >> 1;
-      if (!this.#less(i, parent)) break;
-      this.#swap(i, parent);
-      i = parent;
-    }
-  }
-
-  get nextAt(): number {
-    return this.#heap[0]?.at ?? Number.POSITIVE_INFINITY;
-  }
-
-  next(): Event | undefined {
-    const heap = this.#heap;
-    const first = heap[0];
-    const last = heap.pop();
-    if (first === undefined || last === undefined || heap.length === 0) return first;
-    heap[0] = last;
-    let i = 0;
-    for (;;) {
-      let least = i;
-      for (const child of [2 * i + 1, 2 * i + 2])
-        if (child < heap.length && this.#less(child, least)) least = child;
-      if (least === i) return first;
-      this.#swap(i, least);
-      i = least;
-    }
-  }
-
-  #less(i: number, j: number): boolean {
-    const a = this.#heap[i];
-    const b = this.#heap[j];
-    if (!a || !b) return false;
-    return a.at < b.at || (a.at === b.at && a.order < b.order);
-  }
-
-  #swap(i: number, j: number): void {
-    const a = this.#heap[i];
-    const b = this.#heap[j];
-    if (!a || !b) return;
-    this.#heap[i] = b;
-    this.#heap[j] = a;
-  }
-}
-
 export class World {
   now = 0;
   readonly violations: Violation[] = [];
@@ -272,6 +107,7 @@
   readonly #random;
   readonly #timeline = new Timeline();
   readonly #teams: Deployment["teams"];
+  readonly #leftWaiting: LeftWaiting;
   readonly #hires = new Map<string, string[]>();
   readonly #trouble: Trouble;
   /** Until then transactions get no answer now and then, and are carried out seconds later. */
@@ -311,6 +147,14 @@
       unsent: [],
     }));
     this.#teams = this.#deployment(NODES[0]).teams;
+    this.#leftWaiting = new LeftWaiting({
+      workers: this.workers,
+      jobs: this.jobs,
+      teams: this.#teams,
+      waitsForOthers: (job) =>
+        this.isCalledOff(job) || this.#someNeed(job, (need) => need.finishedAt === null),
+      fault: (uid) => this.fault("left_waiting", uid),
+    });
     for (const node of this.nodes) this.#boot(node);
     for (const zone of ["a", "b"]) {
       for (const type of TYPES) for (let i = 0; i < 2 * scale; i++) this.#rent(type, zone, false, 0);
@@ -1253,72 +1097,9 @@
     );
   }
 
-  /**
-   * With all troubles over: is there a job some of whose tasks wait although a machine that may take one has room, and its
-   * team is under its limit? It may not be so for 90 s.
-   */
+  /** With all troubles over: does a job wait beside room for it? */
   lookForTheLeft(): void {
-    const free = new Map<Worker, Amount>();
-    const used = new Map<string, { cpu: number; gpu: number }>();
-    for (const w of this.workers.values()) {
-      if (!w.alive || this.now < w.upAt || w.noticeAt !== null) continue;
-      let { cpu, gpu, ram } = w.type.size;
-      for (const t of w.tasks) {
-        const spec = t.state === "ended" ? undefined : this.jobs.get(t.uid)?.spec;
-        if (!spec) continue;
-        cpu -= spec.need.cpu;
-        gpu -= spec.need.gpu;
-        ram -= spec.need.ram;
-        const team = used.get(spec.team) ?? { cpu: 0, gpu: 0 };
-        used.set(spec.team, { cpu: team.cpu + spec.need.cpu, gpu: team.gpu + spec.need.gpu });
-      }
-      free.set(w, { cpu, gpu, ram });
-    }
-    for (const job of this.jobs.values()) {
-      const { spec } = job;
-      const over =
-        job.acceptedAt === null ||
-        job.finishedAt !== null ||
-        this.isCalledOff(job) ||
-        this.#someNeed(job, (need) => need.finishedAt === null);
-      if (over || !this.#isLeft(spec, free, used.get(spec.team) ?? { cpu: 0, gpu: 0 })) {
-        job.leftSince = null;
-        continue;
-      }
-      job.leftSince ??= this.now;
-      if (this.now - job.leftSince >= 90_000) this.fault("left_waiting", spec.uid);
-    }
-  }
-
-  #isLeft(spec: JobSpec, free: ReadonlyMap<Worker, Amount>, use: { cpu: number; gpu: number }): boolean {
-    // Where the tasks must be spread, the zone with room may be the one that has its half.
-    if (spec.spread) return false;
-    const running = new Set<number>();
-    for (const w of this.workers.values())
-      if (w.alive)
-        for (const t of w.tasks) if (t.uid === spec.uid && t.state !== "ended") running.add(t.task);
-    const done = this.jobs.get(spec.uid)?.done ?? new Set<number>();
-    let waiting = 0;
-    for (let i = 0; i < spec.tasks; i++) if (!running.has(i) && !done.has(i)) waiting++;
-    if (waiting === 0 || (spec.shape === "gang" && running.size > 0)) return false;
-    const limit = this.#teams.find((t) => t.name === spec.team)?.limit;
-    const atOnce = spec.shape === "gang" ? spec.tasks : 1;
-    if (!limit || use.cpu + spec.need.cpu * atOnce > limit.cpu) return false;
-    if (use.gpu + spec.need.gpu * atOnce > limit.gpu) return false;
-    const places = new Map<string, number>();
-    for (const [w, { cpu, gpu, ram }] of free) {
-      if (spec.types && !spec.types.includes(w.type.name)) continue;
-      if ((spec.zone !== null && spec.zone !== w.zone) || (w.spot && !spec.spot)) continue;
-      const { need } = spec;
-      const fit = Math.min(
-        Math.floor(cpu / need.cpu),
-        need.gpu > 0 ? Math.floor(gpu / need.gpu) : Number.POSITIVE_INFINITY,
-        Math.floor(ram / need.ram),
-      );
-      const zone = spec.oneZone ? w.zone : "";
-      places.set(zone, (places.get(zone) ?? 0) + Math.max(0, fit));
-    }
-    return [...places.values()].some((n) => n >= atOnce);
+    this.#leftWaiting.look(this.now);
   }
 
   /** Asks about a job nobody has submitted. */
