Inherited priority stops lesser work only when the time to its deadline gets short

Cause: the early stages of pipelines, important only because of the last one, stopped arrays that can't save, although they had time.

--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -1,5 +1,6 @@
 import type { Context } from "./context.js";
 import type { Job } from "./tables.js";
+import type { Priority } from "./types.js";
 
 /** The part of an aim's time after which a job that has missed an earlier one is hurried again. */
 const HURRY_PART = 0.6;
@@ -12,6 +13,8 @@
 const TOO_LATE_S = 200;
 /** What has missed that waits behind what can still make it, but not for ever. */
 const RESCUED_S = 420;
+/** From this priority on lesser work makes room. */
+const IMPORTANT = 2;
 /** Above all but guaranteed production work. */
 const AGED_RANK = 8;
 
@@ -70,6 +73,25 @@
   return pressure(ctx, job, ageS) === 0;
 }
 
+/** A job before an important one that has this much time left beyond its own waits for places that come free. */
+const SLACK_S = 25;
+
+/**
+ * The priority with which a job may have others stopped. What is important only because of a job that waits for it goes
+ * first in any case; it stops others only when the time to that job's deadline gets short, as what is stopped often can't
+ * save.
+ */
+export function stoppingPriority(ctx: Context, { spec, priority, dueAt }: Job): Priority {
+  if (priority === spec.priority || dueAt === null) return priority;
+  const slackS = (dueAt - ctx.wallMs) / 1000 - ctx.estimates.of(spec);
+  return slackS < SLACK_S ? priority : spec.priority;
+}
+
+/** Is the job so important that lesser work makes room? */
+export function mayStopLesser(ctx: Context, job: Job): boolean {
+  return stoppingPriority(ctx, job) >= IMPORTANT;
+}
+
 /** The shortest time within which the operators want tasks of this job's class to start. */
 export function waitAimS(ctx: Context, job: Job): number | null {
   let least: number | null = null;
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,6 +1,7 @@
 import { fits, times } from "./amount.js";
 import type { Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
+import { stoppingPriority } from "./order.js";
 import type { Job, Machine, Placement, Tables } from "./tables.js";
 import type { Amount } from "./types.js";
 
@@ -38,10 +39,11 @@
   /** May this placement be stopped so that the job can run? */
   #mayStop(victim: Placement, job: Job, guaranteed: boolean): boolean {
     const spec = victim.job.spec;
-    if (job.priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
-    if (victim.job.priority < job.priority) return true;
+    const priority = stoppingPriority(this.#ctx, job);
+    if (priority < 3 && victim.job.sparedUntil > this.#ctx.now) return false;
+    if (victim.job.priority < priority) return true;
     // The rules would allow more; but small guaranteed work must not break up a gang of higher priority.
-    if (!guaranteed || spec.team === job.spec.team || victim.job.priority > job.priority) return false;
+    if (!guaranteed || spec.team === job.spec.team || victim.job.priority > priority) return false;
     if (victim.job.priority === 3) return false;
     // What is within its own team's guarantee has borrowed nothing: two teams took turns stopping each other's gangs,
     // some of them twenty times.
@@ -79,7 +81,8 @@
     job.roomSoughtAt = now;
     const { need, tasks, oneZone, spread, shape } = job.spec;
     const plans: { machine: Machine; slots: number; victims: Placement[]; cost: number }[] = [];
-    for (const machine of this.#candidates(job, guaranteed ? job.priority + 1 : job.priority)) {
+    const priority = stoppingPriority(this.#ctx, job);
+    for (const machine of this.#candidates(job, guaranteed ? priority + 1 : priority)) {
       if (!suits(machine)) continue;
       const plan = this.#plan(job, machine, need, guaranteed);
       if (plan) plans.push({ machine, ...plan });
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -4,7 +4,7 @@
 import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
 import type { Term } from "./leadership.js";
-import { inOrder, isAged, isPatient, isPressed, waitAimS } from "./order.js";
+import { inOrder, isAged, isPatient, isPressed, mayStopLesser, waitAimS } from "./order.js";
 import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
 import { Reservations } from "./reservations.js";
@@ -192,7 +192,7 @@
     job.blockedSince ??= this.#ctx.now;
     this.#waits(job, job.makingRoomUntil > this.#ctx.now ? "room is being made" : "no machine has room");
     this.#found.push({ job, count, guaranteed: entry.guaranteed });
-    if (job.priority >= 2 || (entry.guaranteed && !isPatient(this.#ctx, job))) {
+    if (mayStopLesser(this.#ctx, job) || (entry.guaranteed && !isPatient(this.#ctx, job))) {
       this.preemption.makeRoom(job, count, entry.guaranteed, () => true, null);
     }
     if (job.spec.shape !== "gang" || job.spec.tasks === 1) return;
@@ -219,7 +219,7 @@
     // Where a start must be quick the image has to be there already, and it is worth stopping lesser work for that.
     const quick = (machine: Machine) => this.candidates.imageWaitS(job, machine) <= withinS;
     let placed = this.#failedFits.has(job, 1) ? 0 : this.#fill(job, count, quick);
-    if (placed < count && job.priority >= 2) {
+    if (placed < count && mayStopLesser(this.#ctx, job)) {
       placed += this.preemption.makeRoom(job, count - placed, false, quick, Math.max(0, leftS));
     }
     if (placed < count) placed += this.#fillAny(job, count - placed);
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -250,6 +250,43 @@
   assert.equal(next.core.leaderTerm?.tables.jobByUid("j-1")?.dueAt, null);
 });
 
+test("what is important only because of what waits for it stops lesser work only when the time to that deadline is short", () => {
+  const b = new Bench().lead();
+  b.report("A");
+  // Fills the machine, and can't save.
+  b.submit(job("j-1", { priority: 0, tasks: 4 }));
+  b.pass(300);
+  const running = b
+    .starts("j-1")
+    .map(({ task, attempt }) => ({ uid: "j-1", task, attempt, state: "running" as const }));
+  assert.equal(running.length, 4);
+  const live = (seconds: number) => {
+    for (let i = 0; i < seconds; i++) {
+      b.answerDo("A", running);
+      b.report("A", running);
+      b.pass(1000);
+    }
+  };
+  b.submit(job("j-2", { priority: 0, need: { cpu: 1000, gpu: 0, ram: 1000 } }));
+  b.submit(job("j-3", { priority: 2, deadlineS: 80, awaits: ["j-2"] }));
+  live(20);
+  assert.deepEqual(b.ops("stop", "j-1"), [], "there is time");
+  live(30);
+  assert.equal(b.ops("stop", "j-1").length > 0, true);
+  // One that is important by itself takes its place at once.
+  const own = new Bench().lead();
+  own.report("A");
+  own.submit(job("j-1", { priority: 0, tasks: 4 }));
+  own.pass(300);
+  own.answerDo(
+    "A",
+    own.starts("j-1").map(({ task, attempt }) => ({ uid: "j-1", task, attempt, state: "running" })),
+  );
+  own.submit(job("j-2", { priority: 2, deadlineS: 80 }));
+  own.pass(1000);
+  assert.ok(own.ops("stop", "j-1").length > 0);
+});
+
 test("what a submission may name: accepted jobs that are no services; repeats count once", () => {
   const b = new Bench().lead();
   b.submit(job("j-1"));
