Records of machines fit their limit by what they take, however long the names are

A count of 24 at 2 KiB held for names of ordinary length only; a record that was too large would have held up every start on its machines.

--- a/src/core/machine-records.ts
+++ b/src/core/machine-records.ts
@@ -1,14 +1,20 @@
-import { type BucketRecord, bucketMachines } from "./records.js";
+import { bytesOf } from "./limits.js";
+import { BUCKET_MACHINES, type BucketRecord } from "./records.js";
 import type { Machine, Tables } from "./tables.js";
 
 /** The machines that share a record. */
 export interface Bucket {
   readonly index: number;
   readonly machines: Set<Machine>;
+  /** What the record takes. */
+  bytes: number;
   version: number;
   dirty: boolean;
 }
 
+/** What a record takes beside its machines. */
+const FRAME_BYTES = 32;
+
 /** Which record lists which machine: many share one, as one by one they would take a fleet's worth of writes. */
 export class MachineRecords {
   readonly #tables: Tables;
@@ -30,7 +36,10 @@
 
   gone(machine: Machine): void {
     const bucket = this.#known(machine);
-    if (bucket?.machines.delete(machine)) bucket.dirty = true;
+    if (bucket?.machines.has(machine)) {
+      this.#remove(bucket, machine);
+      bucket.dirty = true;
+    }
   }
 
   /** The records to be written, in this order, so that the one that lists the machine is on record. */
@@ -48,7 +57,7 @@
   }
 
   value({ machines }: Bucket): BucketRecord {
-    return { machines: [...machines].map((m) => [m.name, m.address, m.typeName, m.zone, m.spot]) };
+    return { machines: [...machines].map(entryOf) };
   }
 
   #known(machine: Machine): Bucket | undefined {
@@ -56,31 +65,53 @@
   }
 
   #bucket(index: number): Bucket {
-    this.#buckets[index] ??= { index, machines: new Set(), version: 0, dirty: false };
+    this.#buckets[index] ??= {
+      index,
+      machines: new Set(),
+      bytes: FRAME_BYTES,
+      version: 0,
+      dirty: false,
+    };
     return this.#buckets[index];
   }
 
   #add(bucket: Bucket, machine: Machine): void {
     bucket.machines.add(machine);
+    bucket.bytes += entryBytes(machine);
     machine.bucket = bucket.index;
   }
 
-  get #most(): number {
-    return bucketMachines(this.#valueBytes());
+  #remove(bucket: Bucket, machine: Machine): void {
+    bucket.machines.delete(machine);
+    bucket.bytes -= entryBytes(machine);
+  }
+
+  /** True if a record of so many machines and bytes may be written; one machine has to fit in any case. */
+  #fits(machines: number, bytes: number): boolean {
+    return machines <= 1 || (machines <= BUCKET_MACHINES && bytes <= this.#valueBytes());
+  }
+
+  #hasRoomFor({ machines, bytes }: Bucket, machine: Machine): boolean {
+    return this.#fits(machines.size + 1, bytes + entryBytes(machine));
   }
 
-  #withRoom(): Bucket {
-    const open = this.#buckets.find((bucket) => bucket.machines.size < this.#most);
-    return open ?? this.#bucket(this.#buckets.length);
+  #withRoomFor(machine: Machine): Bucket {
+    // The last ones are the likeliest to have room.
+    for (let i = this.#buckets.length - 1; i >= 0; i--) {
+      const bucket = this.#bucket(i);
+      if (this.#hasRoomFor(bucket, machine)) return bucket;
+    }
+    return this.#bucket(this.#buckets.length);
   }
 
   /** A machine's first placement: its neighbours of the same start ride along. */
   #assign(machine: Machine): Bucket {
-    const bucket = this.#withRoom();
+    const bucket = this.#withRoomFor(machine);
     this.#add(bucket, machine);
     for (const other of this.#tables.machines.values()) {
-      if (bucket.machines.size >= this.#most) break;
-      if (other.bucket === null && other.phase === "up" && other.address !== "") this.#add(bucket, other);
+      if (other.bucket !== null || other.phase !== "up" || other.address === "") continue;
+      if (!this.#hasRoomFor(bucket, other)) break;
+      this.#add(bucket, other);
     }
     bucket.dirty = true;
     return bucket;
@@ -90,9 +121,9 @@
   #split(bucket: Bucket): Bucket[] {
     const others = new Set<Bucket>();
     for (const machine of bucket.machines) {
-      if (bucket.machines.size <= this.#most) break;
-      bucket.machines.delete(machine);
-      const other = this.#withRoom();
+      if (this.#fits(bucket.machines.size, bucket.bytes)) break;
+      this.#remove(bucket, machine);
+      const other = this.#withRoomFor(machine);
       this.#add(other, machine);
       other.dirty = true;
       others.add(other);
@@ -100,3 +131,14 @@
     return [...others, bucket];
   }
 }
+
+/** An address may come only after the machine has been recorded: it is counted as if it were there. */
+const ADDRESS_BYTES = 24;
+
+function entryBytes({ name, typeName, zone }: Machine): number {
+  return bytesOf([name, "", typeName, zone, false]) + ADDRESS_BYTES;
+}
+
+function entryOf({ name, address, typeName, zone, spot }: Machine): BucketRecord["machines"][number] {
+  return [name, address, typeName, zone, spot];
+}
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -30,12 +30,12 @@
   bucket: (bucket: number) => `m/${bucket}`,
 } as const;
 
-/** What a task or a machine takes of a record, with names of ordinary length. */
+/** What a task takes of a record, with names of ordinary length. */
 const BYTES_PER_TASK = 64;
-const BYTES_PER_MACHINE = 85;
 /** The size of a chunk in layout 1, and the largest in layout 2. */
 export const CHUNK_TASKS = 128;
-const BUCKET_MACHINES = 48;
+/** The most machines in one record. */
+export const BUCKET_MACHINES = 48;
 
 /** The protocol that this version speaks: 2 knows jobs that wait for others, and chunks of any size. */
 export const PROTOCOL = 2;
@@ -52,10 +52,6 @@
   return Math.max(1, Math.min(CHUNK_TASKS, Math.floor(valueBytes / BYTES_PER_TASK)));
 }
 
-export function bucketMachines(valueBytes: number): number {
-  return Math.max(1, Math.min(BUCKET_MACHINES, Math.floor(valueBytes / BYTES_PER_MACHINE)));
-}
-
 /** The job and the tasks that a chunk's key names. */
 export function readChunkKey(key: string): { uid: string; range: TaskRange } | null {
   const found = /^p\/([^/]+)\/(\d+)(?:\.(\d+))?$/.exec(key);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -317,6 +317,26 @@
   );
 });
 
+test("records of machines fit their limit however long the names are", () => {
+  const tables = new Tables(new Directory());
+  const records = new MachineRecords(tables, () => SMALL.valueBytes);
+  for (let i = 0; i < 30; i++) {
+    const name = `i-${i}${"x".repeat((i * 37) % 290)}`;
+    const at = { address: "10.1.0.232:9000", type: "small", zone: "a", spot: false };
+    const machine = tables.machine(name, at, 0);
+    machine.phase = "up";
+  }
+  for (const machine of tables.machines.values()) records.toWrite(machine);
+  const buckets = records.changed();
+  for (const bucket of buckets)
+    assert.ok(
+      Buffer.byteLength(JSON.stringify(records.value(bucket))) <= SMALL.valueBytes,
+      `${bucket.index}`,
+    );
+  assert.equal(buckets.flatMap((bucket) => records.value(bucket).machines).length, 30);
+  assert.ok(buckets.length < 10, `${buckets.length} records`);
+});
+
 test("of records that cover the same task the newest is right", () => {
   const items: StateItem[] = [
     {
