--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -151,6 +151,51 @@
   assert.equal(phaseOf(b.submit(job("j-5", { awaits: ["j-2"] }))), "cancelled", "long after");
 });
 
+test("a job accepted in the very moment in which what it names is cancelled is cancelled, too, also with the leader gone", () => {
+  const { b } = waiting();
+  const other = new Bench("n1", b.state);
+  other.pass(300);
+  assert.equal(phaseOf(other.poll("j-1")), "queued");
+  let asked = false;
+  other.stateRule = (call) => {
+    if (
+      !asked &&
+      call.t === "txn" &&
+      call.changes.some((change) => "put" in change && change.put === "j/j-9")
+    ) {
+      asked = true;
+      // Between the look at what it names and its own write; nobody leads from here on.
+      assert.equal(phaseOf(b.cancel("j-1")), "cancelled");
+    }
+    return null;
+  };
+  assert.equal(other.submit(job("j-9", { awaits: ["j-1"] }))?.t, "accepted");
+  assert.ok(asked);
+  assert.equal(phaseOf(other.poll("j-9")), "cancelled");
+  assert.equal(phaseOf(new Bench("n2", b.state).lead().poll("j-9")), "cancelled");
+});
+
+test("deadlines count from the submission, other times from the release, also to the next leader", () => {
+  const { b, said } = waiting();
+  b.submit(job("j-3", { awaits: ["j-1"], deadlineS: 100 }));
+  for (let i = 0; i < 30; i++) {
+    b.report("A", [said]);
+    b.pass(2000);
+  }
+  const acceptedAt = b.core.leaderTerm?.tables.jobByUid("j-3")?.acceptedAt ?? assert.fail("unknown");
+  end(b, said);
+  b.pass(1000);
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 5000;
+  next.lead();
+  next.pass(2000);
+  const found = next.core.leaderTerm?.tables.jobByUid("j-3") ?? assert.fail("unknown");
+  assert.equal(found.released, true);
+  assert.equal(found.dueAt, acceptedAt + 100_000);
+  assert.ok(found.since - acceptedAt > 55_000, `${found.since - acceptedAt} ms after its acceptance`);
+});
+
 test("a job cancelled by its user while the leader ends it for the sake of another is over all the same", () => {
   const { b } = waiting();
   const other = new Bench("n1", b.state);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -101,6 +101,36 @@
   assert.ok(state.items.has("p/j-7/0"));
 });
 
+test("taken over from production in the middle of a placement, a move and a cancellation", () => {
+  const state = productionState();
+  const put = (key: string, value: unknown) => {
+    state.revision++;
+    state.items.set(key, { key, value, version: state.revision });
+  };
+  const service = readChunks([...state.items.values()].filter(({ key }) => key.startsWith("p/j-000002/")));
+  const [from, other] = service.found.get("j-000002")?.flatMap(({ placed }) => placed) ?? [];
+  assert.ok(from && other);
+  const move = { job: "j-000002", task: from.task, from: from.machine, to: "i-000040", startedAt: 1 };
+  put("c/move", move);
+  put("j/j-000003", { ...(state.items.get("j/j-000003")?.value as object), state: "cancelled" });
+  const b = new Bench("n0", state).lead();
+  const { rebalancer, tables } = b.core.leaderTerm ?? assert.fail("no leader");
+  assert.deepEqual(rebalancer.pending, { ...move, phase: "draining" });
+  const held = [...(tables.jobByUid("j-000003")?.held.values() ?? [])];
+  assert.equal(held.length, 1);
+  const { machine, task, attempt } = held[0] ?? assert.fail("nothing held");
+  const answer = b.report(machine.name, [{ uid: "j-000003", task, attempt, state: "running" }]);
+  assert.ok(answer?.t === "orders");
+  const stops = answer.orders.filter(
+    ({ op, job: ix }) => op === "stop" && b.core.directory.jobs.name(ix) === "j-000003",
+  );
+  assert.equal(stops.length, 1, "the cancellation that production confirmed is carried out");
+  // What it never learned of as started is started nowhere else before its machine is adopted.
+  b.pass(2000);
+  assert.deepEqual(b.starts("j-000001"), []);
+  assert.notEqual(productionReads("c/move", state.items.get("c/move")?.value), null);
+});
+
 test("messages between the versions: production hears this version's heartbeats, and this one production's", () => {
   const core = new Bench().core;
   const effects: Effect[] = [];
