--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -169,8 +169,9 @@
 
   #restore(job: Job, records: readonly StoredChunk[]): number {
     let held = 0;
-    for (const { key, version, done, placed } of records) {
+    for (const { key, version, count, done, placed } of records) {
       job.chunkVersions.set(key, version);
+      job.chunkTasks = Math.min(job.chunkTasks, count);
       for (const task of done) job.markDone(task);
       for (const { task, machine: name, session, attempt } of placed) {
         if (job.isDone(task) && job.spec.shape !== "gang") continue;
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -122,9 +122,13 @@
     this.#touchChunk(job, task, urgent, this.#ctx.now);
   }
 
+  #rangeOf(job: Job, task: number): TaskRange {
+    const count = Math.min(this.#chunkTasks, job.chunkTasks);
+    return { first: task - (task % count), count };
+  }
+
   #touchChunk(job: Job, task: number, urgent: boolean, since: number): void {
-    const count = this.#chunkTasks;
-    const range = { first: task - (task % count), count };
+    const range = this.#rangeOf(job, task);
     const key = KEYS.chunk(job.uid, range);
     const dirty = this.#chunks.get(key);
     if (dirty) dirty.urgent ||= urgent;
@@ -133,9 +137,7 @@
 
   /** True while something about this task is not yet on record. */
   isDirty(job: Job, task: number): boolean {
-    const count = this.#chunkTasks;
-    const key = KEYS.chunk(job.uid, { first: task - (task % count), count });
-    if (this.#chunks.has(key)) return true;
+    if (this.#chunks.has(KEYS.chunk(job.uid, this.#rangeOf(job, task)))) return true;
     return this.#writing.some(
       ({ job: other, range }) => other === job && task >= range.first && task < range.first + range.count,
     );
@@ -154,8 +156,11 @@
   /** Marks all that a chunk of another size covered, in chunks of the present one. */
   #rechunk({ job, range, since, urgent }: DirtyChunk): void {
     const end = Math.min(job.spec.tasks, range.first + range.count);
-    for (let task = range.first; task < end; task += this.#chunkTasks - (task % this.#chunkTasks))
+    for (let task = range.first; task < end; ) {
       this.#touchChunk(job, task, urgent, since);
+      const { first, count } = this.#rangeOf(job, task);
+      task = first + count;
+    }
   }
 
   finish(job: Job): void {
@@ -324,6 +329,7 @@
     }
     batch.conditions.push({ key, version: job.chunkVersions.get(key) ?? 0 });
     batch.changes.push({ put: key, value });
+    job.chunkTasks = Math.min(job.chunkTasks, range.count);
     batch.chunks.push(dirty);
     batch.placements.push(...placements);
     batch.bytes += 200 + held.length * 48;
@@ -376,7 +382,7 @@
     for (const dirty of batch.chunks) {
       const newer = this.#chunks.get(dirty.key);
       if (!this.#tables.jobs.has(dirty.job.ix)) continue;
-      if (dirty.range.count !== this.#chunkTasks) this.#rechunk(dirty);
+      if (dirty.range.count !== this.#rangeOf(dirty.job, dirty.range.first).count) this.#rechunk(dirty);
       else if (newer) newer.urgent ||= dirty.urgent;
       else this.#chunks.set(dirty.key, dirty);
     }
--- a/src/core/stored-chunks.ts
+++ b/src/core/stored-chunks.ts
@@ -1,4 +1,4 @@
-import { readChunk, readChunkKey, type TaskRange } from "./records.js";
+import { CHUNK_TASKS, type ChunkRecord, readChunk, readChunkKey, type TaskRange } from "./records.js";
 import type { StateItem } from "./types.js";
 
 export interface StoredPlacement {
@@ -12,38 +12,56 @@
 export interface StoredChunk {
   readonly key: string;
   readonly version: number;
+  /** How many tasks it covers. */
+  readonly count: number;
   readonly done: readonly number[];
   readonly placed: readonly StoredPlacement[];
 }
 
+interface Parsed {
+  readonly key: string;
+  readonly uid: string;
+  readonly version: number;
+  readonly range: TaskRange;
+  readonly record: ChunkRecord;
+}
+
 export interface StoredChunks {
   readonly found: ReadonlyMap<string, readonly StoredChunk[]>;
   readonly unreadable: readonly { readonly key: string; readonly uid: string }[];
 }
 
+/** A record of the largest size loses to any smaller one; among the others the newest is first. */
+function byWeight(a: Parsed, b: Parsed): number {
+  const largest = ({ range }: Parsed) => Number(range.count === CHUNK_TASKS);
+  return largest(a) - largest(b) || b.version - a.version;
+}
+
 /**
  * Reads the records of placements, by job. Where records of different sizes cover the same task, as they do after the
- * limits of the state service have fallen, the newest one is right: each was whole when it was written.
+ * limits of the state service have fallen, a smaller one is right, whole as it was written: the version does not tell, as
+ * a leader's transaction from before the fall may be carried out after its later ones, under a key that these leave alone.
+ * Of smaller ones the newest is right: their size changes only with the leader, whose late transactions fail.
  */
 export function readChunks(items: readonly StateItem[]): StoredChunks {
   const found = new Map<string, StoredChunk[]>();
   const unreadable: { key: string; uid: string }[] = [];
   const covered = new Map<string, TaskRange[]>();
-  for (const { key, value, version } of [...items].sort((a, b) => b.version - a.version)) {
+  const parsed: Parsed[] = [];
+  for (const { key, value, version } of items) {
     const name = readChunkKey(key);
     const record = readChunk(value);
-    const uid = name?.uid ?? key.split("/")[1] ?? "";
-    if (!name || !record) {
-      unreadable.push({ key, uid });
-      continue;
-    }
+    if (name && record) parsed.push({ key, version, ...name, record });
+    else unreadable.push({ key, uid: name?.uid ?? key.split("/")[1] ?? "" });
+  }
+  for (const { key, version, uid, range, record } of parsed.sort(byWeight)) {
     const newer = covered.get(uid) ?? [];
     const sizes = new Set(newer.map(({ count }) => count));
     // Records of one size never overlap.
-    const others = sizes.size === 0 || (sizes.size === 1 && sizes.has(name.range.count)) ? [] : newer;
+    const others = sizes.size === 0 || (sizes.size === 1 && sizes.has(range.count)) ? [] : newer;
     const isNewest = (task: number) =>
       !others.some(({ first, count }) => task >= first && task < first + count);
-    covered.set(uid, [...newer, name.range]);
+    covered.set(uid, [...newer, range]);
     const done: number[] = [];
     for (const [first, last] of record.done)
       for (let task = first; task <= last; task++) if (isNewest(task)) done.push(task);
@@ -51,8 +69,9 @@
       .map(([task, machine, session, attempt]) => ({ task, machine, session, attempt }))
       .filter(({ task }) => isNewest(task));
     const list = found.get(uid);
-    if (list) list.push({ key, version, done, placed });
-    else found.set(uid, [{ key, version, done, placed }]);
+    const chunk = { key, version, count: range.count, done, placed };
+    if (list) list.push(chunk);
+    else found.set(uid, [chunk]);
   }
   return { found, unreadable };
 }
--- a/src/core/tables.ts
+++ b/src/core/tables.ts
@@ -95,6 +95,8 @@
   awaitedUntil: number | null = null;
   /** The versions of the records of its placements, by key. */
   readonly chunkVersions = new Map<string, number>();
+  /** The size of the smallest of these records: smaller chunks are right where larger ones overlap, so none grows again. */
+  chunkTasks = Number.POSITIVE_INFINITY;
   /** Wall time of its end, as the final record has it. */
   endedAt: number | null = null;
   /** What it counts as: its own priority or, if higher, that of a job that waits for it. */
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -367,7 +367,7 @@
   assert.ok(buckets.length < 10, `${buckets.length} records`);
 });
 
-test("of records that cover the same task the newest is right", () => {
+test("of records that cover the same task a smaller one is right, and of smaller ones the newest", () => {
   const items: StateItem[] = [
     {
       key: "p/j-1/0",
@@ -383,6 +383,21 @@
     { key: "p/j-1/0.32", version: 9, value: { held: [], done: [[0, 3]] } },
     { key: "p/j-1/x", version: 9, value: {} },
   ];
+  // The large one may have been carried out late.
+  for (const version of [5, 12])
+    checkOrders(items.map((item) => (item.key === "p/j-1/0" ? { ...item, version } : item)));
+  const sized: StateItem[] = [
+    { key: "p/j-2/0.32", version: 5, value: { held: [[20, "A", 1, 7]], done: [] } },
+    { key: "p/j-2/0.24", version: 8, value: { held: [[20, "B", 1, 8]], done: [] } },
+  ];
+  const [chunk] =
+    readChunks(sized)
+      .found.get("j-2")
+      ?.filter(({ placed }) => placed.length > 0) ?? [];
+  assert.equal(chunk?.placed[0]?.machine, "B");
+});
+
+function checkOrders(items: readonly StateItem[]): void {
   for (const order of [items, [...items].reverse()]) {
     const { found, unreadable } = readChunks(order);
     const chunks = found.get("j-1") ?? [];
@@ -393,6 +408,73 @@
     );
     assert.deepEqual(unreadable, [{ key: "p/j-1/x", uid: "j-1" }]);
   }
+}
+
+test("a transaction from before the gate that is carried out late, after newer chunks, brings nothing back", () => {
+  // Found on the bench (ran_twice): the late record, newest by its version, placed tasks where they no longer ran.
+  const b = new Bench().lead();
+  for (const name of ["A", "B"]) b.report(name);
+  b.submit(job("j-0", { tasks: 8 }));
+  b.pass(300);
+  live(b, 2);
+  const late: Extract<StateCall, { t: "txn" }>[] = [];
+  b.stateRule = (call) => {
+    if (call.t !== "txn" || !call.changes.some((c) => "put" in c && c.put === "p/j-1/0")) return null;
+    // Its repeats, too, get no answer until the gate opens.
+    if (late.length === 0) late.push(call);
+    return { t: "silent" };
+  };
+  b.submit(job("j-1", { need: { cpu: 0, gpu: 0, ram: 100 } }));
+  b.pass(100);
+  assert.equal(late.length, 1);
+  hearBoth(b);
+  live(b, 2);
+  assert.equal(b.core.view.layout, 2);
+  const first = b.core.leaderTerm?.tables.jobByUid("j-1")?.held.get(0) ?? assert.fail("not placed");
+  assert.equal(first.durable, true);
+  // It fails there, and starts on the other machine.
+  const others = [...first.machine.placements].filter((p) => p !== first);
+  b.report(first.machine.name, [
+    ...others.map((p) => ({ uid: p.job.uid, task: p.task, attempt: p.attempt, state: "running" as const })),
+    { uid: "j-1", task: 0, attempt: first.attempt, state: "ended", cause: "error" },
+  ]);
+  b.pass(300);
+  live(b, 2);
+  const second = b.core.leaderTerm?.tables.jobByUid("j-1")?.held.get(0) ?? assert.fail("not placed again");
+  assert.notEqual(second.machine.name, first.machine.name);
+  for (const call of late)
+    assert.equal(b.state.run(call, b.now).t, "ok", "nothing that it depends on has changed");
+  b.state.expire(b.now + 60_000);
+  const next = new Bench("n1", b.state);
+  next.now = b.now + 60_000;
+  next.lead();
+  const found = next.core.leaderTerm?.tables.jobByUid("j-1")?.held.get(0);
+  assert.deepEqual([found?.machine.name, found?.attempt], [second.machine.name, second.attempt]);
+});
+
+test("chunks never grow again, whatever limits a later leader finds", () => {
+  const state = new StateService();
+  const at = (valueBytes: number, node: string, now: number) => {
+    const b = new Bench(node, state, `${node}-1`, { valueBytes, stateNext: null });
+    b.now = now;
+    b.lead();
+    hearBoth(b);
+    b.pass(500);
+    return b;
+  };
+  const small = at(2048, "n0", 1000);
+  small.report("A");
+  small.submit(job("j-1", { tasks: 100, need: { cpu: 10, gpu: 0, ram: 10 } }));
+  small.pass(1000);
+  live(small, 2);
+  assert.ok(state.items.has("p/j-1/32.32"));
+  state.expire(small.now + 60_000);
+  const large = at(8192, "n1", small.now + 60_000);
+  large.report("A");
+  large.submit(job("j-2", { tasks: 100, need: { cpu: 10, gpu: 0, ram: 10 } }));
+  live(large, 3);
+  assert.ok(state.items.has("p/j-2/0"));
+  assert.ok(!state.items.has("p/j-1/0"));
 });
 
 test("settings: the limits to come are optional; impossible ones name their field", () => {
