--- a/test/world.ts
+++ b/test/world.ts
@@ -174,6 +174,12 @@
   }
 
   #upgrade(): void {
+    // What was decided before the gate opened may be carried out after what was decided later.
+    if (this.chance(0.5)) {
+      this.#at(15_000, () => {
+        this.lateWritesUntil = this.now + 60_000;
+      });
+    }
     for (const node of this.nodes) {
       this.#at(20_000 + node.ix * this.between(6000, 14_000), () => {
         node.old = false;
