--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -3,7 +3,7 @@
 import { type Found, JobLookup, viewOfEnd } from "./job-lookup.js";
 import { cancelledRecord, fitsRecord, type JobRecord, KEYS, newJobRecord } from "./records.js";
 import { suitsType } from "./tables.js";
-import type { JobSpec, JobView, StateItem, UserAnswer } from "./types.js";
+import type { JobSpec, JobView, StateCondition, StateItem, UserAnswer } from "./types.js";
 import type { ConfigView } from "./view.js";
 
 const CALL_MS = 1500;
@@ -27,6 +27,11 @@
   readonly answer: Answer;
 }
 
+/** With what its answer rests on as of the comparison: a record that is read meanwhile must not vouch for it. */
+interface ComparedPoll extends Poll {
+  readonly conditions: readonly StateCondition[];
+}
+
 type Refusal = Extract<UserAnswer, { t: "never" | "later" | "malformed" }>;
 
 const UNANSWERED = "the state service does not answer";
@@ -182,7 +187,7 @@
   comparePolls(): void {
     const polls = this.#gathered;
     this.#gathered = [];
-    let together: Poll[] = [];
+    let together: ComparedPoll[] = [];
     let conditions = new Map<string, number>();
     for (const poll of polls) {
       // Since it was gathered the job may have been read as over: a comparison with nothing to compare would hold.
@@ -199,20 +204,17 @@
         conditions = new Map();
       }
       for (const { key, version } of basis.conditions) conditions.set(key, version);
-      together.push(poll);
+      together.push({ ...poll, conditions: basis.conditions });
     }
     if (together.length > 0) this.#compare(together, conditions);
   }
 
-  #compare(polls: readonly Poll[], versions: ReadonlyMap<string, number>): void {
-    // What each answer rests on, as of now: a record that is read meanwhile must not vouch for this comparison.
-    const bases = polls.map(({ uid }) => this.#lookup.basis(uid));
+  #compare(polls: readonly ComparedPoll[], versions: ReadonlyMap<string, number>): void {
     const conditions = [...versions].map(([key, version]) => ({ key, version }));
     this.#ctx.state({ t: "txn", conditions, changes: [] }, CALL_MS, (result) => {
       const failed = new Set(result.t === "conflict" ? result.failed : []);
-      for (const [i, { uid, answer }] of polls.entries()) {
-        const basis = bases[i];
-        const holds = basis?.t === "versions" && !basis.conditions.some(({ key }) => failed.has(key));
+      for (const { uid, answer, conditions: needed } of polls) {
+        const holds = !needed.some(({ key }) => failed.has(key));
         if (result.t !== "ok" && result.t !== "conflict") answer(later(UNANSWERED));
         else if (holds) answer({ t: "view", view: this.#viewOf(uid, false) });
         else this.#read(uid, answer);
