--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -7,6 +7,9 @@
 const number = (min: number, max: number) => v.pipe(v.number(), v.finite(), v.minValue(min), v.maxValue(max));
 const whole = (min: number, max: number) => v.pipe(number(min, max), v.integer());
 
+/** The most machines that a leader is meant for (docs/DESIGN.md, "Bounds"); the version in production reads no more. */
+const MOST_MACHINES = 10_000;
+
 export const operatorSchema = v.strictObject({
   move_low: v.optional(number(0, 1), 0.3),
   move_high: v.optional(number(0, 1), 0.8),
@@ -16,7 +19,7 @@
   leader_grant_ms: v.optional(whole(1000, 60_000), 3000),
   hold_s: v.optional(number(0, 600), 30),
   round_budget_ms: v.optional(number(1, 1000), 20),
-  max_machines: v.optional(whole(0, 10_000), 2000),
+  max_machines: v.optional(whole(0, MOST_MACHINES), MOST_MACHINES),
   idle_s: v.optional(number(5, 86_400), 40),
   spare_window_s: v.optional(number(1, 3600), 120),
   spare_factor: v.optional(number(0, 10), 1.5),
--- /dev/null
+++ b/src/core/contact.ts
@@ -0,0 +1,66 @@
+import type { Context } from "./context.js";
+import type { Fencing } from "./fencing.js";
+import type { Term } from "./leadership.js";
+import type { Machine } from "./tables.js";
+import type { Report } from "./types.js";
+
+/** What was sent is given this long to show, and at least so many report intervals. */
+const OWED_MS = 4000;
+const OWED_REPORTS = 2.5;
+
+/**
+ * Judges which workers hear this node. That a worker reports proves nothing of the other direction: only an effect in a
+ * later report does. Answers and commands may be lost while reports arrive; such a machine would be given work for ever
+ * that never starts.
+ */
+export class Contact {
+  readonly #ctx: Context;
+  readonly #term: Term;
+  readonly #fencing: Fencing;
+  readonly #changed: () => void;
+
+  constructor(ctx: Context, term: Term, fencing: Fencing, changed: () => void) {
+    this.#ctx = ctx;
+    this.#term = term;
+    this.#fencing = fencing;
+    this.#changed = changed;
+  }
+
+  /** Notes that a report was answered: what it was told has to show in the next ones. */
+  answered(machine: Machine): void {
+    if (this.#owes(machine)) machine.owedSince ??= this.#ctx.now;
+  }
+
+  #owes(machine: Machine): boolean {
+    if (machine.report && machine.report.token < this.#term.token) return true;
+    for (const p of machine.placements) if (p.seen === null && p.sentToken > 0) return true;
+    return false;
+  }
+
+  /** Judges a new report against the one before it. */
+  judge(machine: Machine, report: Report): void {
+    const { now, deployment } = this.#ctx;
+    const before = machine.report;
+    if (before && report.token > before.token) this.markReachable(machine);
+    if (machine.owedSince === null) return;
+    const patienceMs = Math.max(OWED_MS, deployment.reportS * OWED_REPORTS * 1000);
+    if (now - machine.owedSince > patienceMs) this.markUnreachable(machine, "nothing sent to it shows");
+  }
+
+  markReachable(machine: Machine): void {
+    machine.owedSince = null;
+    if (machine.unreachableSince === null) return;
+    machine.unreachableSince = null;
+    this.#fencing.remove(machine);
+    this.#ctx.log("info", "machine is reached again", { machine: machine.name });
+    this.#changed();
+  }
+
+  markUnreachable(machine: Machine, why: string): void {
+    // A harmless order now and then tells when it is reached again.
+    if (machine.phase === "up") this.#fencing.add(machine);
+    if (machine.unreachableSince !== null) return;
+    machine.unreachableSince = this.#ctx.now;
+    this.#ctx.log("info", "machine can't be reached", { machine: machine.name, why });
+  }
+}
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -96,6 +96,7 @@
     this.over = true;
     this.recorder.over = true;
     this.#feed.stop();
+    this.provisioner.end();
   }
 
   /* ---- reading what earlier leaders left ---- */
--- a/src/core/provisioner.ts
+++ b/src/core/provisioner.ts
@@ -1,15 +1,15 @@
 import { fits, times } from "./amount.js";
+import { CloudInventory } from "./cloud-inventory.js";
 import type { Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import { GpuReserve } from "./gpu-reserve.js";
 import type { Term } from "./leadership.js";
+import { MachineWatch } from "./machine-watch.js";
 import type { Recorder } from "./recorder.js";
 import type { Blocked, Scheduler } from "./scheduler.js";
 import { type Job, type Machine, suitsType, type Tables } from "./tables.js";
-import type { ListedMachine, MachineType } from "./types.js";
+import type { MachineType } from "./types.js";
 
-const LIST_MS = 4000;
-const TYPES_MS = 60_000;
 const REFUSED_MS = 8000;
 const REFUSED_MAX_MS = 60_000;
 const RELEASE_RETRY_MS = 3000;
@@ -17,12 +17,7 @@
 const DRAIN_S = 45;
 const HIRE_TRIES = 3;
 const HIRE_RETRY_MS = 1000;
-/** Copies of reports may come this long after their machine is gone. */
-const RELEASED_KEPT_MS = 600_000;
-/** Machines of a zone that is cut off are kept so long. */
-const CUT_PATIENCE_MS = 300_000;
 const SPOT_RISK = 1.25;
-const MIN_CHARGE_MS = 60_000;
 
 interface Offer {
   readonly type: MachineType;
@@ -37,7 +32,7 @@
   readonly tries: number;
 }
 
-/** Rents machines for what finds no place, and gives back what is idle, stuck or broken. */
+/** Rents machines for what finds no place, and gives back those that are to be released. */
 export class Provisioner {
   readonly #ctx: Context;
   readonly #term: Term;
@@ -50,18 +45,12 @@
   /** Machines of each type that are there or have been asked for, as of this round of hiring. */
   #counts = new Map<string, number>();
   readonly #gpuReserve: GpuReserve;
-  readonly #typesRead: (types: readonly MachineType[]) => void;
+  readonly #inventory: CloudInventory;
+  readonly #watch: MachineWatch;
   /** Requests that got no answer, to be repeated under their names. */
   readonly #unanswered: { at: number; hire: RentalRequest }[] = [];
   #requests = 0;
-  /** Zones that are, or were just now, cut off. */
-  readonly #cutUntil = new Map<string, number>();
-  #listing = false;
-  #listedAt = Number.NEGATIVE_INFINITY;
-  #typesAt = Number.NEGATIVE_INFINITY;
   #releasing = false;
-  /** No hiring before the first full list of this term: machines an earlier leader rented count too. */
-  #listedOnce = false;
 
   constructor(
     ctx: Context,
@@ -78,149 +67,26 @@
     this.#fleet = fleet;
     this.#recorder = recorder;
     this.#scheduler = scheduler;
-    this.#typesRead = typesRead;
     this.#gpuReserve = new GpuReserve(ctx, tables, scheduler);
+    this.#watch = new MachineWatch(ctx, term, tables, scheduler);
+    this.#inventory = new CloudInventory(ctx, tables, {
+      typesRead,
+      failed: (machine) => this.#watch.giveUp(machine, "it failed"),
+    });
+  }
+
+  end(): void {
+    this.#inventory.stop();
   }
 
   tick(confirmed: boolean): void {
-    const { now } = this.#ctx;
-    if (!this.#listing && now - this.#listedAt >= LIST_MS) this.#list();
-    if (now - this.#typesAt >= (this.#tables.types.size === 0 ? 1000 : TYPES_MS)) this.#readTypes();
+    this.#inventory.tick();
     this.#gpuReserve.tick();
-    this.#watchMachines();
+    this.#watch.tick();
     if (!confirmed) return;
     this.#askAgain();
     this.#release();
-    if (this.#listedOnce && this.#tables.types.size > 0) this.#hire();
-  }
-
-  #readTypes(): void {
-    this.#typesAt = this.#ctx.now;
-    this.#ctx.cloud({ t: "types" }, (answer) => {
-      if (answer.t === "types") this.#typesRead(answer.types);
-    });
-  }
-
-  #list(): void {
-    this.#listing = true;
-    this.#listedAt = this.#ctx.now;
-    const found: ListedMachine[] = [];
-    const next = (after: string | null) => {
-      this.#ctx.cloud({ t: "list", after }, (answer) => {
-        if (answer.t !== "page") {
-          this.#listing = false;
-          return;
-        }
-        found.push(...answer.machines);
-        const last = answer.machines.at(-1);
-        if (answer.more && last) next(last.name);
-        else {
-          this.#listing = false;
-          this.#listed(found);
-        }
-      });
-    };
-    next(null);
-  }
-
-  /** The list lags and may step back: it adds machines, but its silence proves nothing by itself. */
-  #listed(found: readonly ListedMachine[]): void {
-    const { now } = this.#ctx;
-    this.#listedOnce = true;
-    for (const listed of found) {
-      const ix = this.#ctx.directory.machines.find(listed.name);
-      const known = ix === undefined ? undefined : this.#tables.machines.get(ix);
-      // An old list may still show a machine that has been released; one that answers nothing is released again.
-      if (!known && this.#tables.released.has(listed.name)) continue;
-      const machine = known ?? this.#tables.machine(listed.name, listed, now - listed.ageS * 1000);
-      if (listed.phase === "failed" && machine.phase !== "releasing") this.#giveUp(machine, "it failed");
-    }
-    for (const [name, at] of this.#tables.released) {
-      if (now - at > this.#ctx.deployment.listLagS * 4000 + RELEASED_KEPT_MS)
-        this.#tables.released.delete(name);
-    }
-  }
-
-  #giveUp(machine: Machine, why: string): void {
-    if (machine.phase === "releasing") return;
-    machine.phase = "releasing";
-    machine.releaseWhy = why;
-    this.#ctx.log("debug", "machine to be released", { machine: machine.name, why });
-  }
-
-  #watchMachines(): void {
-    const { now, settings, deployment } = this.#ctx;
-    const up = [...this.#tables.machines.values()].filter((m) => m.phase === "up");
-    const silentMs = deployment.reportS * 2600 + 700;
-    const silent = up.filter((m) => now - m.heardAt > silentMs).length;
-    const fewUnreachable = up.filter((m) => m.unreachableSince !== null).length <= Math.max(1, up.length / 3);
-    // When most are silent it is this node that is cut off, not the machines that are gone.
-    const hearing = silent <= Math.max(1, up.length / 3);
-    const cut = this.#cutZones(up);
-    for (const machine of this.#tables.machines.values()) {
-      switch (machine.phase) {
-        case "booting": {
-          const bootS = machine.type?.bootS ?? 60;
-          if (now - machine.bootingSince > bootS * settings.boot_factor * 1000) {
-            this.#giveUp(machine, "it never came up");
-          }
-          break;
-        }
-        case "up": {
-          // A new leader counts from its beginning: machines it has never heard may be in a zone that is cut off.
-          const quiet = now - Math.max(machine.heardAt, this.#term.since);
-          if (machine.placements.size > 0 || machine.strayUse.cpu > 0) machine.idleSince = null;
-          else machine.idleSince ??= now;
-          // A zone that is cut off comes back with its machines and their images; given back they would have
-          // to be rented, booted and filled anew, spot ones first, which were taken for taken back.
-          if (!hearing || (cut.has(machine.zone) && quiet < CUT_PATIENCE_MS)) break;
-          const noticed = machine.noticeUntil !== null && now > machine.noticeUntil;
-          const unreachableMs =
-            machine.unreachableSince === null || !fewUnreachable ? 0 : now - machine.unreachableSince;
-          if (unreachableMs > deployment.leaseS * 2000) this.#giveUp(machine, "it can't be reached");
-          else if (machine.lost && quiet > deployment.leaseS * 2000) this.#giveUp(machine, "silent");
-          else if (quiet > silentMs && (machine.spot || noticed)) {
-            this.#giveUp(machine, "taken back");
-          } else if (machine.mode === "drain" && machine.placements.size === 0) {
-            this.#giveUp(machine, "drained");
-          } else if (
-            machine.retiring &&
-            machine.idleSince !== null &&
-            now - machine.bootingSince > MIN_CHARGE_MS
-          ) {
-            this.#giveUp(machine, "not needed");
-          } else if (
-            machine.idleSince !== null &&
-            machine.type?.size.gpu === 0 &&
-            now - machine.idleSince > settings.idle_s * 1000 &&
-            now - machine.bootingSince > MIN_CHARGE_MS &&
-            this.#scheduler.blocked.every(({ job }) => !this.#scheduler.candidates.allows(job, machine))
-          ) {
-            this.#giveUp(machine, "idle");
-          }
-          break;
-        }
-        case "releasing":
-          break;
-      }
-    }
-  }
-
-  /** Zones most of whose machines have missed a report at the same time. */
-  #cutZones(up: readonly Machine[]): Set<string> {
-    const { now, deployment } = this.#ctx;
-    const missedMs = deployment.reportS * 1500;
-    const counts = new Map<string, { all: number; quiet: number }>();
-    for (const { zone, heardAt } of up) {
-      const count = counts.get(zone) ?? { all: 0, quiet: 0 };
-      count.all++;
-      if (now - heardAt > missedMs) count.quiet++;
-      counts.set(zone, count);
-    }
-    // When it comes back its workers are heard one after the other: those that are yet to come are not silent.
-    for (const [zone, { all, quiet }] of counts)
-      if (quiet > 1 && quiet >= all / 2) this.#cutUntil.set(zone, now + deployment.leaseS * 2000);
-    return new Set([...this.#cutUntil].filter(([, until]) => now < until).map(([zone]) => zone));
+    if (this.#inventory.listedOnce && this.#tables.types.size > 0) this.#hire();
   }
 
   #release(): void {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -3,6 +3,7 @@
 import type { Budget, Context } from "./context.js";
 import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
+import { noteFetch } from "./image-caches.js";
 import type { Term } from "./leadership.js";
 import { inOrder, isAged, isPatient, isPressed, mayStopLesser, waitAimS } from "./order.js";
 import { Preemption } from "./preemption.js";
@@ -31,7 +32,6 @@
   readonly #ctx: Context;
   readonly #term: Term;
   readonly #tables: Tables;
-  readonly #fleet: Fleet;
   readonly #recorder: Recorder;
   #counter = 0;
   #counterToken = 0;
@@ -50,7 +50,6 @@
     this.#ctx = ctx;
     this.#term = term;
     this.#tables = tables;
-    this.#fleet = fleet;
     this.#recorder = recorder;
     this.#failedFits = new FailedFits(ctx);
     this.#reservations = new Reservations(ctx);
@@ -333,7 +332,7 @@
     job.blockedSince = null;
     const image = machine.images.get(job.spec.image);
     if (image) image.usedAt = this.#ctx.now;
-    else this.#fleet.noteFetch(machine, job, this.#ctx.now);
+    else noteFetch(this.#ctx, machine, job);
     this.#recorder.touch(job, task, true);
     return placement;
   }
--- a/src/core/stored-chunks.ts
+++ b/src/core/stored-chunks.ts
@@ -26,6 +26,21 @@
   readonly record: ChunkRecord;
 }
 
+/** The tasks of a job that records read so far cover, by the size of these. */
+class Coverage {
+  /** The first tasks of the records of each size: those of one size never overlap. */
+  readonly #firsts = new Map<number, Set<number>>();
+
+  /** Adds a record; tells of each of its tasks whether none added before it covers it. */
+  add({ first, count }: TaskRange): (task: number) => boolean {
+    const others = [...this.#firsts].filter(([size]) => size !== count);
+    const same = this.#firsts.get(count);
+    if (same) same.add(first);
+    else this.#firsts.set(count, new Set([first]));
+    return (task) => !others.some(([size, firsts]) => firsts.has(task - (task % size)));
+  }
+}
+
 export interface StoredChunks {
   readonly found: ReadonlyMap<string, readonly StoredChunk[]>;
   readonly unreadable: readonly { readonly key: string; readonly uid: string }[];
@@ -46,7 +61,7 @@
 export function readChunks(items: readonly StateItem[]): StoredChunks {
   const found = new Map<string, StoredChunk[]>();
   const unreadable: { key: string; uid: string }[] = [];
-  const covered = new Map<string, TaskRange[]>();
+  const covered = new Map<string, Coverage>();
   const parsed: Parsed[] = [];
   for (const { key, value, version } of items) {
     const name = readChunkKey(key);
@@ -55,13 +70,9 @@
     else unreadable.push({ key, uid: name?.uid ?? key.split("/")[1] ?? "" });
   }
   for (const { key, version, uid, range, record } of parsed.sort(byWeight)) {
-    const newer = covered.get(uid) ?? [];
-    const sizes = new Set(newer.map(({ count }) => count));
-    // Records of one size never overlap.
-    const others = sizes.size === 0 || (sizes.size === 1 && sizes.has(range.count)) ? [] : newer;
-    const isNewest = (task: number) =>
-      !others.some(({ first, count }) => task >= first && task < first + count);
-    covered.set(uid, [...newer, range]);
+    const newer = covered.get(uid) ?? new Coverage();
+    covered.set(uid, newer);
+    const isNewest = newer.add(range);
     const done: number[] = [];
     for (const [first, last] of record.done)
       for (let task = first; task <= last; task++) if (isNewest(task)) done.push(task);
--- /dev/null
+++ b/src/core/worker-orders.ts
@@ -0,0 +1,112 @@
+import type { Context } from "./context.js";
+import type { Leadership, Term } from "./leadership.js";
+import type { Recorder } from "./recorder.js";
+import { type Machine, type Placement, type Tables, tokenOf } from "./tables.js";
+import type { Order, Report } from "./types.js";
+
+const RESEND_MS = 1000;
+/** Starts are sent on knowledge of the job's key no older than this: a few rounds of following it. */
+const ALLOWED_MS = 6000;
+
+/** Works out what a worker is to be told: what to start, what to stop, which ended attempts to forget. */
+export class WorkerOrders {
+  readonly #ctx: Context;
+  readonly #leadership: Leadership;
+  readonly #term: Term;
+  readonly #tables: Tables;
+  readonly #recorder: Recorder;
+  /** Takes back a placement whose start can no longer be sent under the token of its attempt. */
+  readonly #startAnew: (placement: Placement) => void;
+
+  constructor(
+    ctx: Context,
+    leadership: Leadership,
+    term: Term,
+    tables: Tables,
+    recorder: Recorder,
+    startAnew: (placement: Placement) => void,
+  ) {
+    this.#ctx = ctx;
+    this.#leadership = leadership;
+    this.#term = term;
+    this.#tables = tables;
+    this.#recorder = recorder;
+    this.#startAnew = startAnew;
+  }
+
+  /** The orders a report is answered with; also what a direct command carries. */
+  for(machine: Machine): Order[] {
+    const orders: Order[] = [];
+    const { now } = this.#ctx;
+    const { report } = machine;
+    const starting = this.#leadership.confirmed;
+    const { token } = this.#term;
+    for (const placement of machine.placements) {
+      if (!placement.durable || placement.session !== machine.session) continue;
+      const { job, task, attempt } = placement;
+      const unseen = placement.seen === null;
+      if (unseen && placement.sentToken === 0 && this.#isStale(placement)) {
+        // Recorded under a token that was raised before its start was ever sent: begin anew.
+        this.#recorder.touch(job, task, false);
+        this.#startAnew(placement);
+        continue;
+      }
+      // A start is only ever sent under the token its attempt carries: what clearing relies on.
+      if (unseen && (tokenOf(attempt) !== token || !starting)) continue;
+      if (unseen && !placement.stop && !this.#stillAllowed(placement)) continue;
+      if (unseen && now - placement.sentAt >= (placement.stop ? 0 : RESEND_MS)) {
+        placement.sentAt = now;
+        placement.sentToken = token;
+        orders.push({ op: "start", job: job.ix, task, attempt });
+      }
+      const { stop } = placement;
+      if (stop && now - stop.sentAt >= RESEND_MS && !(placement.seen === "saving" && stop.graceS > 0)) {
+        stop.sentAt = now;
+        orders.push({ op: "stop", job: job.ix, task, attempt, graceS: stop.graceS });
+      }
+    }
+    if (report && report.session === machine.session) this.#tidy(machine, report, orders);
+    return orders;
+  }
+
+  /** A start, or its repeat, rests on recent knowledge that its job is not cancelled. */
+  #stillAllowed({ allowedAt }: Placement): boolean {
+    return this.#ctx.now - Math.max(allowedAt, this.#leadership.knownThrough) < ALLOWED_MS;
+  }
+
+  #isStale({ attempt }: Placement): boolean {
+    return tokenOf(attempt) >= this.#term.firstToken && tokenOf(attempt) < this.#term.token;
+  }
+
+  /** Starts under way that a raised token would cut off. */
+  startsUnderWay(): boolean {
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.lost || machine.phase !== "up") continue;
+      for (const p of machine.placements)
+        if (p.seen === null && tokenOf(p.attempt) === this.#term.token) return true;
+    }
+    return false;
+  }
+
+  /** Strays are stopped; ended attempts are cleared once no start for them can still arrive. */
+  #tidy(machine: Machine, report: Report, orders: Order[]): void {
+    for (const entry of report.tasks) {
+      const job = this.#tables.jobs.get(entry.job);
+      const placement = job?.held.get(entry.task);
+      const ours = placement?.machine === machine && placement.attempt === entry.attempt;
+      // What runs of a job whose record can't be read is ours for all we know.
+      if (ours || (job?.unreadable && job.state === "active")) continue;
+      const { job: ix, task, attempt } = entry;
+      if (entry.state !== "ended") {
+        orders.push({ op: "stop", job: ix, task, attempt, graceS: 0 });
+      } else if (
+        tokenOf(attempt) < machine.token &&
+        machine.token === this.#term.token &&
+        !(job && this.#recorder.isDirty(job, task))
+      ) {
+        // Repeats of starts that were carried out may arrive late; this worker refuses them by their token.
+        orders.push({ op: "forget", job: ix, task, attempt });
+      }
+    }
+  }
+}
--- a/src/shell/api.ts
+++ b/src/shell/api.ts
@@ -1,10 +1,10 @@
 import http from "node:http";
-import type { Socket } from "node:net";
 import express, { type NextFunction, type Request, type Response } from "express";
 import type { AdminAnswer, AdminAsk, JobSpec, UserAnswer } from "../core/types.js";
 import { encodeView, isUid, parseJob } from "../protocol/jobs.js";
 import { parseJson } from "./http-client.js";
 import type { SocketShares } from "./sockets.js";
+import { WorkerSockets } from "./worker-sockets.js";
 
 const BODY_LIMIT = 64 * 1024;
 const REPORT_PATH = "/agent/beat";
@@ -88,31 +88,21 @@
     json(res, code, { error: code === 500 ? "internal error" : "malformed request" });
   });
 
-  const workers = new Set<Socket>();
+  const workers = new WorkerSockets(shares);
   const server = http.createServer({ keepAliveTimeout: 75_000 }, (req, res) => {
-    if (req.method !== "POST" || req.url !== REPORT_PATH) app(req, res);
-    else if (mayReport(workers, req.socket, shares.workersIn)) takeReport(handler, req, res);
-    else {
-      res.setHeader("connection", "close");
-      json(res, 421, {});
+    if (req.method !== "POST" || req.url !== REPORT_PATH) {
+      app(req, res);
+      return;
     }
+    const admission = workers.admit(req.socket);
+    if (admission !== "keep") res.setHeader("connection", "close");
+    if (admission === "refuse") json(res, 421, {});
+    else takeReport(handler, req, res);
   });
   server.maxConnections = shares.inbound;
   return server;
 }
 
-/**
- * After a restart one node may have the whole fleet at its door. Were all connections given to workers, the balancer's
- * probes and users would be turned away: so they have a part of them, and the next worker is sent to the next node.
- */
-function mayReport(workers: Set<Socket>, socket: Socket, most: number): boolean {
-  if (workers.has(socket)) return true;
-  if (workers.size >= most) return false;
-  workers.add(socket);
-  socket.once("close", () => workers.delete(socket));
-  return true;
-}
-
 /**
  * Reports are nine requests in ten: express and its body parser took a sixth of a leader's processor time for them
  * (docs/RESULTS.md), so they are read here.
--- a/src/shell/loop.ts
+++ b/src/shell/loop.ts
@@ -169,7 +169,12 @@
     this.#passing.delete(to);
     // After a standstill some have been given up: their workers are at another node.
     const open = list.filter(({ id }) => this.#relays.has(id));
-    if (open.length > 0) this.#peers.send(to, { t: "reports", list: open });
+    if (open.length === 0) return;
+    // A worker has one report under way, so what waits here is the newest of each, and none older than its time out.
+    if (this.#peers.isCongested(to)) {
+      this.#passing.set(to, open);
+      setTimeout(() => this.#pass(to), GATHER_MS);
+    } else this.#peers.send(to, { t: "reports", list: open });
   }
 
   #giveUpRelays(now: number): void {
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -8,6 +8,8 @@
 const CONNECT_TIMEOUT_MS = 1500;
 /** What may wait for a peer, for each connection this node may have: after a restart all workers' reports come at once. */
 const BACKLOG_EACH = 2048;
+/** With so many bytes waiting for a peer, what can wait is not sent yet. */
+const CONGESTED_BYTES = 256 * 1024;
 
 const count = v.pipe(v.number(), v.minValue(0));
 const messageSchema = v.variant("t", [
@@ -76,6 +78,12 @@
     else link.socket.write(this.#packr.pack(message));
   }
 
+  /** True while a peer takes messages more slowly than they come: what may be dropped or joined is better held back. */
+  isCongested(to: string): boolean {
+    const link = this.#links.get(to);
+    return link?.up === true && link.socket.writableLength > CONGESTED_BYTES;
+  }
+
   #connect(node: string, host: string, port: number): void {
     const socket = net.connect({ host, port, noDelay: true });
     const link: Link = { socket, up: false };
--- a/src/shell/sockets.ts
+++ b/src/shell/sockets.ts
@@ -4,6 +4,8 @@
   readonly inbound: number;
   /** How many of those may be workers': the rest is for probes and users. */
   readonly workersIn: number;
+  /** How many of these are kept open between reports; a worker beyond them is answered, and its connection closed. */
+  readonly workersKept: number;
   /** Connections to workers, for direct commands. */
   readonly workersOut: number;
 }
@@ -13,6 +15,8 @@
 const WORKERS_OUT_PART = 0.1;
 const OTHERS_IN_PART = 0.08;
 const OTHERS_IN_LEAST = 8;
+/** The part of the workers' connections that is free for those that come and go with each report. */
+const PASSING_PART = 0.1;
 const LEAST = 8;
 
 /**
@@ -24,5 +28,6 @@
   const workersOut = Math.max(LEAST, Math.floor(free * WORKERS_OUT_PART));
   const inbound = Math.max(2 * LEAST, free - workersOut);
   const others = Math.max(OTHERS_IN_LEAST, Math.floor(inbound * OTHERS_IN_PART));
-  return { inbound, workersIn: Math.max(1, inbound - others), workersOut };
+  const workersIn = Math.max(1, inbound - others);
+  return { inbound, workersIn, workersKept: Math.floor(workersIn * (1 - PASSING_PART)), workersOut };
 }
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -26,7 +26,8 @@
 
 test("the shares of a node's sockets stay within its limit, and one node can hold the fleet it is meant for", () => {
   for (const limit of [64, 400, 1200, 1282, 1936, 10_000]) {
-    const { inbound, workersIn, workersOut } = shareSockets(limit);
+    const { inbound, workersIn, workersKept, workersOut } = shareSockets(limit);
+    assert.ok(workersKept >= 1 && workersKept < workersIn, `${limit}: ${workersKept} of ${workersIn} kept`);
     assert.ok(inbound + workersOut < limit, `${limit}: ${inbound} + ${workersOut}`);
     assert.ok(workersIn < inbound && workersOut >= 1);
   }
@@ -91,7 +92,12 @@
 }
 
 test("workers leave room for probes and users: the next one is sent on, and a place that comes free is given again", async () => {
-  const server = createServer(new AnyRequestHandler(), { inbound: 8, workersIn: 3, workersOut: 1 });
+  const server = createServer(new AnyRequestHandler(), {
+    inbound: 8,
+    workersIn: 3,
+    workersKept: 3,
+    workersOut: 1,
+  });
   const agents = Array.from({ length: 4 }, () => new HttpClient(1));
   const probes = new HttpClient(1);
   try {
@@ -110,3 +116,42 @@
     stop(server);
   }
 });
+
+// Guarded against: with more workers than connections, those beyond the bound were sent away with each report, and where
+// only one node is left their leases ran out.
+test("one node with fewer sockets than workers answers each report of all of them, and users get through", async () => {
+  const shares = { inbound: 12, workersIn: 8, workersKept: 6, workersOut: 1 };
+  const server = createServer(new AnyRequestHandler(), shares);
+  const workers = Array.from({ length: 40 }, () => new HttpClient(1));
+  const user = new HttpClient(1);
+  let mostOpen = 0;
+  server.on("connection", () => {
+    server.getConnections((_error, count) => {
+      mostOpen = Math.max(mostOpen, count);
+    });
+  });
+  try {
+    const port = await listen(server);
+    const tally = workers.map(() => 0);
+    for (let round = 0; round < 3; round++) {
+      // Two at a time, as many as may wait for answers beside the connections that are kept.
+      for (let i = 0; i < workers.length; i += 2) {
+        const pair = [i, i + 1];
+        const answers = await Promise.all(pair.map((j) => call(workers[j] ?? user, port, "/agent/beat")));
+        for (const [k, j] of pair.entries()) if (answers[k]?.status === 200) tally[j] = (tally[j] ?? 0) + 1;
+      }
+      const probe = await new Promise<HttpAnswer | null>((then) =>
+        user.call({ host: LOOPBACK, port }, { method: "GET", path: "/ready" }, 2000, then),
+      );
+      assert.equal(probe?.status, 200);
+    }
+    assert.deepEqual(
+      tally,
+      workers.map(() => 3),
+    );
+    assert.ok(mostOpen <= shares.inbound, `${mostOpen} connections`);
+    assert.ok(workers.filter((worker) => worker.open > 0).length <= shares.workersKept);
+  } finally {
+    stop(server);
+  }
+});
