Model world at 6,000 machines; settings that can't work are refused; open files checked

The world's truth about what is where is kept as it changes, in place of being counted over all machines at each start. Refused at the start now: cancel_s not longer than lease_s, rates of the state service too low for a single transaction or for renewals.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -10,6 +10,10 @@
 const amount = v.optional(v.pipe(v.number(), v.finite(), v.minValue(0)), 0);
 /** A move, a start with the record of its machine, and a job's two keys at its end have to fit in one transaction. */
 const txnOps = v.pipe(v.number(), v.integer(), v.minValue(4));
+/** Limits allow bursts of a second's worth: a transaction of the smallest size has to fit in one. */
+const writeRps = v.pipe(v.number(), v.finite(), v.minValue(4));
+/** Renewals, following the records and heartbeats of three nodes take this much by themselves. */
+const stateRps = v.pipe(v.number(), v.finite(), v.minValue(10));
 /** The records of ordinary jobs need this much. */
 const LEAST_VALUE_KB = 1;
 
@@ -45,14 +49,14 @@
       cancel_s: positive,
     }),
     state: v.object({
-      rps: positive,
-      write_rps: positive,
+      rps: stateRps,
+      write_rps: writeRps,
       value_kb: positive,
       txn_ops: txnOps,
       next: v.optional(
         v.object({
-          rps: v.optional(positive),
-          write_rps: v.optional(positive),
+          rps: v.optional(stateRps),
+          write_rps: v.optional(writeRps),
           value_kb: v.optional(positive),
           txn_ops: v.optional(txnOps),
         }),
@@ -147,6 +151,11 @@
   if (d.workers.lease_s <= d.workers.report_s) {
     throw new SettingsError("deployment.workers.lease_s: must be longer than report_s");
   }
+  if (d.workers.cancel_s <= d.workers.lease_s) {
+    throw new SettingsError(
+      "deployment.workers.cancel_s: must be longer than lease_s, the life of a lost task",
+    );
+  }
   return {
     listen: port(s.client_listen, "client_listen"),
     peerListen: port(s.peer_bind, "peer_bind"),
--- a/src/core/fencing.ts
+++ b/src/core/fencing.ts
@@ -23,6 +23,7 @@
   #queue: Machine[] = [];
   #isSorted = true;
   #steppedAt: number;
+  #perSecond = LEAST_PER_S;
   #allowance = 0;
 
   constructor(ctx: Context, term: Term, send: (machine: Machine) => void) {
@@ -51,9 +52,8 @@
     if (this.#waiting.size === 0) return;
     if (now - this.#term.since < deployment.reportS * GRACE_REPORTS * 1000) return;
     this.#sort();
-    const perSecond = Math.max(LEAST_PER_S, this.#queue.length / deployment.leaseS);
-    const mostAtOnce = (perSecond * LONGEST_STEP_MS) / 1000;
-    this.#allowance = Math.min(Math.ceil(mostAtOnce), this.#allowance + (perSecond * stepMs) / 1000);
+    const mostAtOnce = Math.ceil((this.#perSecond * LONGEST_STEP_MS) / 1000);
+    this.#allowance = Math.min(mostAtOnce, this.#allowance + (this.#perSecond * stepMs) / 1000);
     while (this.#allowance >= 1) {
       const machine = this.#queue.pop();
       if (!machine) return;
@@ -67,6 +67,7 @@
   #sort(): void {
     if (this.#isSorted) return;
     this.#queue = [...this.#waiting].sort((a, b) => a.placements.size - b.placements.size);
+    this.#perSecond = Math.max(LEAST_PER_S, this.#queue.length / this.#ctx.deployment.leaseS);
     this.#isSorted = true;
   }
 }
--- a/src/shell/serve.ts
+++ b/src/shell/serve.ts
@@ -3,6 +3,7 @@
 import { createServer } from "./api.js";
 import { openLog } from "./log.js";
 import { Loop } from "./loop.js";
+import { openFilesProblem } from "./open-files.js";
 import { shareSockets } from "./sockets.js";
 
 export { compileAhead } from "./compile-ahead.js";
@@ -12,6 +13,8 @@
   const settings = loadSettings(configPath);
   const log = openLog(process.env.LOG_LEVEL, settings.deployment.node);
   if (cacheProblem !== null) log.info({ why: cacheProblem }, "started without the code cache");
+  const problem = openFilesProblem(settings.maxConnections);
+  if (problem !== null) log.error({ problem }, "too few open files");
   const nonce = randomBytes(8);
   const identity = {
     incarnation: nonce.toString("hex"),
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { JobSpec, Priority, Shape } from "../src/core/types.js";
 import { job } from "./bench.js";
+import { NO_TROUBLE } from "./troubles.js";
 import { type Trouble, World } from "./world.js";
 
 const TROUBLE_S = 150;
@@ -94,36 +95,17 @@
   return world;
 }
 
-const NONE: Trouble = {
-  crash: 0,
-  cut: 0,
-  outage: 0,
-  hang: 0,
-  taken: 0,
-  error: 0,
-  deaf: 0,
-  copies: 0,
-  lonely: 0,
-  blink: 0,
-  freeze: 0,
-  masses: 0,
-  roll: 0,
-  meet: 0,
-  cancelAtEnd: 0,
-  upgrade: false,
-};
-
 export const TROUBLES: Record<string, Trouble> = {
-  quiet: NONE,
-  "crashing controllers": { ...NONE, crash: 0.08 },
-  "controllers back at once": { ...NONE, blink: 0.08 },
-  "cuts and outages": { ...NONE, cut: 0.08, outage: 0.02 },
-  "lonely controllers": { ...NONE, lonely: 0.06, blink: 0.02 },
-  "failing machines": { ...NONE, hang: 0.08, taken: 0.05, error: 0.001 },
-  "workers that hear nothing": { ...NONE, deaf: 0.06 },
-  "late copies of reports": { ...NONE, copies: 0.1, crash: 0.03, taken: 0.05 },
+  quiet: NO_TROUBLE,
+  "crashing controllers": { ...NO_TROUBLE, crash: 0.08 },
+  "controllers back at once": { ...NO_TROUBLE, blink: 0.08 },
+  "cuts and outages": { ...NO_TROUBLE, cut: 0.08, outage: 0.02 },
+  "lonely controllers": { ...NO_TROUBLE, lonely: 0.06, blink: 0.02 },
+  "failing machines": { ...NO_TROUBLE, hang: 0.08, taken: 0.05, error: 0.001 },
+  "workers that hear nothing": { ...NO_TROUBLE, deaf: 0.06 },
+  "late copies of reports": { ...NO_TROUBLE, copies: 0.1, crash: 0.03, taken: 0.05 },
   "the older ones together": {
-    ...NONE,
+    ...NO_TROUBLE,
     crash: 0.05,
     cut: 0.05,
     outage: 0.015,
@@ -131,14 +113,14 @@
     taken: 0.03,
     error: 0.0005,
   },
-  "controllers that stand still": { ...NONE, freeze: 0.05, crash: 0.02 },
-  "many machines together": { ...NONE, masses: 0.04 },
-  "down, ended and rolled": { ...NONE, roll: 0.015, hang: 0.02 },
-  "two troubles that meet": { ...NONE, meet: 0.04 },
-  "meetings, and cancellations at the end": { ...NONE, meet: 0.03, cancelAtEnd: 0.5, crash: 0.02 },
-  "an upgrade": { ...NONE, upgrade: true },
+  "controllers that stand still": { ...NO_TROUBLE, freeze: 0.05, crash: 0.02 },
+  "many machines together": { ...NO_TROUBLE, masses: 0.04 },
+  "down, ended and rolled": { ...NO_TROUBLE, roll: 0.015, hang: 0.02 },
+  "two troubles that meet": { ...NO_TROUBLE, meet: 0.04 },
+  "meetings, and cancellations at the end": { ...NO_TROUBLE, meet: 0.03, cancelAtEnd: 0.5, crash: 0.02 },
+  "an upgrade": { ...NO_TROUBLE, upgrade: true },
   "an upgrade among troubles": {
-    ...NONE,
+    ...NO_TROUBLE,
     upgrade: true,
     crash: 0.03,
     cut: 0.03,
--- a/test/state-service.ts
+++ b/test/state-service.ts
@@ -8,6 +8,8 @@
 
 const CONDITIONS = 4;
 const TXN_BYTES = 64 * 1024;
+/** The most items in one page of a list; a test may set another. */
+const PAGE = 20;
 
 /** A stand-in for the state service, in memory and in virtual time. */
 export class StateService {
@@ -17,6 +19,7 @@
   readonly log: { key: string; item: StateItem | null; revision: number }[] = [];
   revision = 0;
   outageUntil = 0;
+  page = PAGE;
   /** None until a test sets some. */
   limits: Limits | null = null;
   /** Transactions refused for what was in them, and for the rate of changes. */
@@ -57,8 +60,9 @@
       case "list": {
         const keys = [...this.items.keys()].filter((k) => k.startsWith(call.prefix)).sort();
         const from = call.after === null ? keys : keys.filter((k) => k > (call.after ?? ""));
-        const items = from.slice(0, 20).flatMap((key) => this.items.get(key) ?? []);
-        return { t: "page", items: structuredClone(items), more: from.length > 20, revision: this.revision };
+        const items = from.slice(0, this.page).flatMap((key) => this.items.get(key) ?? []);
+        const more = from.length > this.page;
+        return { t: "page", items: structuredClone(items), more, revision: this.revision };
       }
       case "grant": {
         const grant = this.#nextGrant++;
@@ -122,8 +126,19 @@
     return null;
   }
 
+  /** The place in the log of the first change after a revision. */
+  #firstAfter(revision: number): number {
+    let [low, high] = [0, this.log.length];
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.log[middle]?.revision ?? 0) > revision) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+
   since(prefix: string, after: number): StateAnswer | null {
-    const found = this.log.filter((e) => e.revision > after && e.key.startsWith(prefix));
+    const found = this.log.slice(this.#firstAfter(after)).filter((e) => e.key.startsWith(prefix));
     if (found.length === 0) return null;
     return {
       t: "events",
--- a/test/validation.test.ts
+++ b/test/validation.test.ts
@@ -10,6 +10,7 @@
 import { decodeStateAnswer } from "../src/protocol/state.js";
 import { decodeReport, encodeOrders } from "../src/protocol/workers.js";
 import { createServer, type RequestHandler } from "../src/shell/api.js";
+import { openFilesProblem } from "../src/shell/open-files.js";
 import { shareSockets } from "../src/shell/sockets.js";
 import { SETTINGS } from "./settings.js";
 
@@ -42,6 +43,9 @@
     ['site = "a"\n', "", /^site: /],
     ["lease_s = 14.0", 'lease_s = "long"', /^deployment\.workers\.lease_s: /],
     ["lease_s = 14.0", "lease_s = 1.0", /^deployment\.workers\.lease_s: /],
+    ["cancel_s = 44.0", "cancel_s = 14.0", /^deployment\.workers\.cancel_s: /],
+    ["write_rps = 100.0", "write_rps = 3.0", /^deployment\.state\.write_rps: /],
+    ["\nrps = 250.0", "\nrps = 5.0", /^deployment\.state\.rps: /],
     ["127.0.0.1:8080", "127.0.0.1:99999", /^client_listen: /],
     ["127.0.0.1:8080", "nowhere", /^client_listen: /],
     ["cpus_max = 4.0", "cpus_max = -4.0", /^deployment\.teams\.0\.cpus_max: /],
@@ -57,6 +61,20 @@
   }
 });
 
+test("too few open files for the connections are told of in plain words", () => {
+  const limits = (soft: number) =>
+    `Limit  Soft Limit\nMax open files            ${soft}      524288     files\n`;
+  assert.equal(openFilesProblem(1200, limits(1264)), null);
+  assert.match(openFilesProblem(1200, limits(1024)) ?? "", /allows 1024 open files, max_connections is 1200/);
+  assert.equal(openFilesProblem(1200, ""), null, "where the system does not tell");
+});
+
+// Guarded against: the settings of the version before, stored whole, must not be raised with the default.
+test("a stored max_machines stays as the operator set it", () => {
+  assert.equal(readOperator({ max_machines: 2000 }).max_machines, 2000);
+  assert.equal(defaultOperator.max_machines, 10_000);
+});
+
 test("operators' settings that another version stored fall back one by one", () => {
   const read = readOperator({ move_low: 0.2, idle_s: -5, unheard_of: true });
   assert.deepEqual(read, { ...defaultOperator, move_low: 0.2 });
--- a/test/world.ts
+++ b/test/world.ts
@@ -18,7 +18,9 @@
 } from "../src/core/types.js";
 import { deployment, NODES, TYPES } from "./deployment.js";
 import { LeftWaiting } from "./left-waiting.js";
+import { Meter } from "./meter.js";
 import type { Job, Worker, WorkerTask } from "./model.js";
+import { OnMachines } from "./on-machines.js";
 import { productionReads } from "./production.js";
 import { StateService } from "./state-service.js";
 import { Timeline } from "./timeline.js";
@@ -30,6 +32,8 @@
 
 /** The part of all ends and cancellations that users look at closely. */
 const CLOSE_LOOKS = 0.3;
+/** The most machines in one page of the cloud's list. */
+const LIST_PAGE = 500;
 
 interface Node {
   /** It is yet to be upgraded: it neither says nor hears which protocol others speak. */
@@ -100,7 +104,16 @@
   readonly workers = new Map<string, Worker>();
   readonly nodes: Node[];
   starts = 0;
+  /** Tasks that a command has ended. */
+  stops = 0;
   finished = 0;
+  readonly onMachines = new OnMachines();
+  /** Requests that reached the state service and the cloud. */
+  readonly stateCalls = new Meter();
+  readonly cloudCalls = new Meter();
+  /** Leases that ran out, and the longest that a node that led went without asking for its renewal. */
+  readonly leasesLost: { readonly worker: string; readonly zone: string; readonly at: number }[] = [];
+  longestUnrenewedMs = 0;
   /** How long after its user was told of the cancellation a task of a job began, each time that one did. */
   readonly lateStarts: number[] = [];
   readonly logs: string[] = [];
@@ -394,6 +407,8 @@
       this.#giveLater(node, epoch, ms, () => ({ t: "state", id, answer: a }));
     };
     const cut = this.now < Math.max(node.cutUntil, node.stateCutUntil);
+    if (!cut) this.stateCalls.count(this.now);
+    if (call.t === "renew") this.#noteRenewal(node);
     if (call.t === "follow") {
       const until = this.now + call.waitMs;
       const look = () => {
@@ -447,6 +462,20 @@
     });
   }
 
+  readonly #renewedAt = new Map<string, number>();
+
+  #noteRenewal(node: Node): void {
+    const key = `${node.name} ${node.epoch} ${node.core?.leaderTerm?.term.firstToken}`;
+    const before = this.#renewedAt.get(key);
+    if (before !== undefined) this.longestUnrenewedMs = Math.max(this.longestUnrenewedMs, this.now - before);
+    this.#renewedAt.set(key, this.now);
+  }
+
+  /** Cuts off the machines of a zone from all nodes. */
+  cutZone(zone: string, forMs: number): void {
+    for (const worker of this.workers.values()) if (worker.zone === zone) worker.cutUntil = this.now + forMs;
+  }
+
   /* ---- cloud ---- */
 
   #rent(type: MachineType, zone: string, spot: boolean, bootMs: number): Worker {
@@ -487,6 +516,7 @@
       answer(5000, { t: "silent" });
       return;
     }
+    this.cloudCalls.count(this.now);
     this.#at(60, () => answer(60, this.#cloud(call)));
   }
 
@@ -514,29 +544,36 @@
       case "release":
         for (const name of call.machines) {
           const worker = this.workers.get(name);
-          if (worker) worker.alive = false;
+          if (worker) this.#die(worker);
         }
         return { t: "released" };
       case "list": {
         const seen = this.now - this.between(3000, 6000);
-        const machines = [...this.workers.values()]
-          .filter((w) => w.hiredAt <= seen && (w.alive || this.chance(0.3)))
-          .map((w) => ({
-            name: w.name,
-            address: `${w.name}:1`,
-            type: w.type.name,
-            zone: w.zone,
-            spot: w.spot,
-            phase: w.upAt <= seen ? ("running" as const) : ("booting" as const),
-            ageS: (seen - w.hiredAt) / 1000,
-          }));
-        return { t: "page", machines, more: false };
+        const { after } = call;
+        const listed = [...this.workers.values()]
+          .filter((w) => w.hiredAt <= seen && (after === null || w.name > after))
+          .filter((w) => w.alive || this.chance(0.3));
+        const machines = listed.slice(0, LIST_PAGE).map((w) => ({
+          name: w.name,
+          address: `${w.name}:1`,
+          type: w.type.name,
+          zone: w.zone,
+          spot: w.spot,
+          phase: w.upAt <= seen ? ("running" as const) : ("booting" as const),
+          ageS: (seen - w.hiredAt) / 1000,
+        }));
+        return { t: "page", machines, more: listed.length > LIST_PAGE };
       }
     }
   }
 
   /* ---- workers ---- */
 
+  #die(worker: Worker): void {
+    worker.alive = false;
+    this.onMachines.leaveAll(worker);
+  }
+
   #stuck(worker: Worker): boolean {
     return this.now < worker.hungUntil;
   }
@@ -556,6 +593,8 @@
 
   #lease(worker: Worker): void {
     if (this.now - worker.leaseFrom <= 12_000) return;
+    this.leasesLost.push({ worker: worker.name, zone: worker.zone, at: this.now });
+    this.onMachines.leaveAll(worker);
     worker.tasks = [];
     worker.session++;
     worker.leaseFrom = this.now;
@@ -565,21 +604,12 @@
     return task.state === "waiting" || task.state === "running" || task.state === "saving";
   }
 
-  #holders(uid: string, task: number): Worker[] {
-    const found: Worker[] = [];
-    for (const w of this.workers.values()) {
-      if (w.alive && w.tasks.some((t) => t.uid === uid && t.task === task && this.#onMachine(t)))
-        found.push(w);
-    }
-    return found;
-  }
-
   #begin(worker: Worker, task: WorkerTask): void {
     const job = this.jobs.get(task.uid);
     if (!job) return;
     const { spec } = job;
     this.starts++;
-    const others = this.#holders(task.uid, task.task).filter((w) => w !== worker);
+    const others = this.onMachines.others(task.uid, task.task, worker);
     if (others.length > 0)
       this.fault("ran_twice", `${task.uid}/${task.task} on ${worker.name} and ${others[0]?.name}`);
     if (job.cancelledAt !== null) {
@@ -604,24 +634,14 @@
     else if (spec.shape === "gang") task.until = this.now + 40_000;
     // The result of a task that was done before is kept.
     else task.until = this.now + (job.done.has(task.task) ? 0 : spec.estimateS * this.between(600, 1400));
-    const zones = new Map<string, Set<number>>();
-    const teamUse = { cpu: 0, gpu: 0 };
-    for (const w of this.workers.values()) {
-      if (!w.alive) continue;
-      for (const t of w.tasks) {
-        if (!this.#onMachine(t)) continue;
-        const other = this.jobs.get(t.uid)?.spec;
-        if (other?.team === spec.team) {
-          teamUse.cpu += other.need.cpu;
-          teamUse.gpu += other.need.gpu;
-        }
-        if (t.uid === task.uid) zones.set(w.zone, (zones.get(w.zone) ?? new Set()).add(t.task));
-      }
-    }
+    this.onMachines.enter(worker, task, spec);
+    const teamUse = this.onMachines.teamUse(spec.team);
     const team = this.#teams.find((t) => t.name === spec.team);
     if (team && (teamUse.cpu > team.limit.cpu || teamUse.gpu > team.limit.gpu)) {
       this.fault("quota", `${spec.team} uses ${teamUse.cpu}/${teamUse.gpu}`);
     }
+    if (!spec.oneZone && !spec.spread) return;
+    const zones = this.onMachines.zones(task.uid);
     if (spec.oneZone && zones.size > 1) this.fault("wrong_place", `${task.uid} in two zones`);
     if (spec.spread && (zones.get(worker.zone)?.size ?? 0) > Math.ceil(spec.tasks / 2)) {
       this.fault("wrong_place", `${task.uid} not spread`);
@@ -629,8 +649,10 @@
   }
 
   #end(worker: Worker, task: WorkerTask, cause: WorkerTask["cause"], saved = false): void {
+    this.onMachines.leave(task);
     task.state = "ended";
     task.cause = cause;
+    if (cause === "stopped") this.stops++;
     task.saved = saved;
     worker.nextReport = Math.min(worker.nextReport, this.now + 100);
     const job = this.jobs.get(task.uid);
@@ -1159,12 +1181,10 @@
     if (worker && this.chance(t.hang)) worker.hungUntil = this.now + this.between(2000, 30_000);
     if (worker && this.chance(t.hang)) worker.cutUntil = this.now + this.between(2000, 30_000);
     if (worker && this.chance(t.taken)) {
-      if (this.chance(0.5)) worker.alive = false;
+      if (this.chance(0.5)) this.#die(worker);
       else {
         worker.noticeAt = this.now + 10_000;
-        this.#at(10_000, () => {
-          worker.alive = false;
-        });
+        this.#at(10_000, () => this.#die(worker));
       }
     }
   }
@@ -1212,7 +1232,7 @@
         for (const w of some) w.muteUntil = until;
       },
       () => {
-        for (const w of workers) if (w.zone === "a") w.cutUntil = until;
+        this.cutZone("a", forMs);
       },
       () => {
         this.lateWritesUntil = until;
@@ -1272,12 +1292,10 @@
     const kind = this.between(0, 3);
     const zone = this.chance(0.5) ? "a" : "b";
     for (const worker of workers) {
-      if (kind === 0 && this.chance(0.2)) worker.alive = false;
+      if (kind === 0 && this.chance(0.2)) this.#die(worker);
       if (kind === 1 && this.chance(0.3)) worker.hungUntil = this.now + forMs;
       if (kind === 2 && worker.spot && this.chance(0.5)) {
-        this.#at(this.between(0, 10_000), () => {
-          worker.alive = false;
-        });
+        this.#at(this.between(0, 10_000), () => this.#die(worker));
       }
       if (kind === 3 && worker.zone === zone) worker.cutUntil = this.now + forMs;
     }
