--- /dev/null
+++ b/tools/loopback/state-server.ts
@@ -0,0 +1,132 @@
+import http from "node:http";
+import type { StateCall } from "../../src/core/types.js";
+import { StateService } from "../../test/state-service.js";
+import { readBody, reply } from "./http.js";
+
+const SWEEP_MS = 25;
+
+interface Follow {
+  readonly prefix: string;
+  readonly after: number;
+  readonly res: http.ServerResponse;
+  readonly until: number;
+}
+
+/** The state service as a process of its own would serve it: the model's store behind the wire protocol. */
+export class StateServer {
+  readonly store = new StateService();
+  requests = 0;
+  #follows: Follow[] = [];
+  readonly #server = http.createServer((req, res) => this.#serve(req, res));
+
+  listen(port: number): void {
+    this.store.page = 500;
+    this.#server.listen(port, "127.0.0.1");
+    setInterval(() => {
+      this.store.expire(performance.now());
+      this.#answerFollows();
+    }, SWEEP_MS);
+  }
+
+  async #serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    this.requests++;
+    const body = (await readBody(req)) as Record<string, never>;
+    const url = new URL(req.url ?? "/", "http://state");
+    const parts = url.pathname.split("/").slice(1);
+    const query = url.searchParams;
+    if (parts[0] === "follow") {
+      this.#follows.push({
+        prefix: query.get("starts") ?? "",
+        after: Number(query.get("since")),
+        res,
+        until: performance.now() + Number(query.get("hold_ms") ?? 0),
+      });
+      this.#answerFollows();
+      return;
+    }
+    const call = readCall(req.method ?? "", parts, query, body);
+    if (call === null) {
+      reply(res, 400, { error: "malformed" });
+      return;
+    }
+    const [status, answer] = this.#run(call);
+    reply(res, status, answer);
+    if (call.t === "txn" || call.t === "drop") this.#answerFollows();
+  }
+
+  #run(call: Exclude<StateCall, { t: "follow" }>): [number, unknown] {
+    const answer = this.store.run(call, performance.now());
+    const ledger = this.store.revision;
+    switch (answer.t) {
+      case "ok":
+        return [200, { ledger: answer.revision }];
+      case "conflict":
+        return [409, { failed: answer.failed, ledger }];
+      case "item":
+        return [200, encodeItem(answer.item)];
+      case "page":
+        return [200, { entries: answer.items.map(encodeItem), more: answer.more, ledger: answer.revision }];
+      case "granted":
+        return [200, { tenure: answer.grant }];
+      case "absent":
+        return [404, { ledger }];
+      case "invalid":
+        return [400, { error: answer.why }];
+      case "throttled":
+        return [429, {}];
+      default:
+        return [503, {}];
+    }
+  }
+
+  #answerFollows(): void {
+    const now = performance.now();
+    this.#follows = this.#follows.filter((follow) => {
+      const found = this.store.since(follow.prefix, follow.after);
+      if (found === null && now < follow.until) return !follow.res.destroyed;
+      const events = found?.t === "events" ? found.events : [];
+      const log = events.map((event) =>
+        event.t === "put"
+          ? { write: event.item.key, value: event.item.value, stamp: event.item.version }
+          : { delete: event.key, stamp: event.version },
+      );
+      reply(follow.res, 200, { ledger: this.store.revision, log });
+      return false;
+    });
+  }
+}
+
+function encodeItem({ key, value, version }: { key: string; value: unknown; version: number }) {
+  return { path: key, value, stamp: version };
+}
+
+/** A request in the words of the protocol, as the store's call; null if it is none. */
+function readCall(
+  method: string,
+  parts: readonly string[],
+  query: URLSearchParams,
+  body: Record<string, never>,
+): Exclude<StateCall, { t: "follow" }> | null {
+  const [root, ...rest] = parts.map(decodeURIComponent);
+  if (root === "keys" && rest.length === 0)
+    return { t: "list", prefix: query.get("starts") ?? "", after: query.get("since") };
+  if (root === "keys") return { t: "get", key: rest.join("/") };
+  if (root === "multi") {
+    const conditions: { path: string; stamp: number }[] = body.if ?? [];
+    const changes: ({ write: string; value: unknown; tenure?: number } | { delete: string })[] =
+      body.then ?? [];
+    return {
+      t: "txn",
+      conditions: conditions.map(({ path, stamp }) => ({ key: path, version: stamp })),
+      changes: changes.map((change) => {
+        if ("delete" in change) return { remove: change.delete };
+        const put = { put: change.write, value: change.value };
+        return change.tenure === undefined ? put : { ...put, grant: change.tenure };
+      }),
+    };
+  }
+  if (root !== "grants") return null;
+  const grant = Number(rest[0]);
+  if (rest.length === 0) return { t: "grant", lifeMs: Number(body.life_ms) };
+  return method === "DELETE" ? { t: "drop", grant } : { t: "renew", grant };
+}
--- /dev/null
+++ b/tools/measure-fleet.ts
@@ -0,0 +1,104 @@
+import { CloudServer } from "./loopback/cloud-server.js";
+import { ask, CLOUD_PORT, jobBody, leader, NODES, Nodes, STATE_PORT, sleep } from "./loopback/nodes.js";
+import { StateServer } from "./loopback/state-server.js";
+import { WorkerFleet } from "./loopback/worker-fleet.js";
+
+/**
+ * Three real controllers on loopback with thousands of stand-in workers: memory and processor time per report and machine.
+ *   node target/test/tools/measure-fleet.js MACHINES [TASKS_A_MACHINE]
+ */
+const machines = Number(process.argv[2] ?? 1000);
+const tasksEach = Number(process.argv[3] ?? 8);
+const REPORT_S = 2.5;
+const LEASE_S = 15;
+const MEASURED_MS = 20_000;
+const HOUR_MS = 3_600_000;
+const SETTLE_TRIES = 240;
+
+const deployFile = process.env.DEPLOY_FILE ?? "deploy/service.toml";
+const maxConnections = Number(process.env.MAX_CONNECTIONS ?? Math.ceil(machines * 0.6) + 300);
+const state = new StateServer();
+state.listen(STATE_PORT);
+const fleet = new WorkerFleet(
+  { nodes: NODES, reportMs: REPORT_S * 1000, leaseMs: LEASE_S * 1000, runMs: () => HOUR_MS },
+  machines,
+);
+new CloudServer(fleet).listen(CLOUD_PORT);
+const nodes = new Nodes({ maxConnections, reportS: REPORT_S, leaseS: LEASE_S, logLevel: "info" }, deployFile);
+nodes.startAll();
+
+function held(): number {
+  return fleet.workers.reduce((sum, worker) => sum + worker.tasks.length, 0);
+}
+
+async function until(what: string, holds: () => Promise<boolean> | boolean): Promise<void> {
+  for (let i = 0; i < SETTLE_TRIES; i++) {
+    if (await holds()) return;
+    await sleep(500);
+  }
+  throw new Error(`never came: ${what}`);
+}
+
+try {
+  await until("a leader", async () => (await leader()) !== null);
+  fleet.start();
+  const wanted = machines * tasksEach;
+  for (let i = 0; i < 10; i++)
+    await until(
+      `job ${i}`,
+      async () => (await ask(i % 3, "/api/jobs", jobBody(`j-${i}`, wanted / 10, 1.5))) !== null,
+    );
+  await until("all tasks placed", () => held() >= wanted);
+  await sleep(5000);
+
+  const first = (await leader()) ?? 0;
+  const before = NODES.map((_, i) => nodes.usage(i));
+  const reports = fleet.answeredReports;
+  const requests = state.requests;
+  await sleep(MEASURED_MS);
+  const answered = fleet.answeredReports - reports;
+  console.log(
+    `machines ${machines}, tasks ${held()}, max_connections ${maxConnections}, leases lost ${fleet.leasesLost}`,
+  );
+  console.log(
+    `steady: ${(answered * 1000) / MEASURED_MS} reports/s, ${((state.requests - requests) * 1000) / MEASURED_MS} state requests/s`,
+  );
+  for (const i of NODES.keys()) {
+    const { cpuMs, residentMb, peakMb } = nodes.usage(i);
+    const used = cpuMs - (before[i]?.cpuMs ?? 0);
+    const share = ((used / MEASURED_MS) * 100).toFixed(1);
+    const role = i === first ? "leader" : "follower";
+    console.log(`${role}: ${share}% of a core, ${residentMb} MB, peak ${peakMb} MB`);
+  }
+  const total = NODES.reduce((sum, _, i) => sum + nodes.usage(i).cpuMs - (before[i]?.cpuMs ?? 0), 0);
+  console.log(`processor time per report, all nodes: ${((total * 1000) / answered).toFixed(0)} us`);
+
+  const lost = fleet.leasesLost;
+  const killedAt = performance.now();
+  nodes.kill(first);
+  await until("another leader", async () => {
+    const next = await leader();
+    return next !== null && next !== first;
+  });
+  console.log(`failover: led again after ${Math.round(performance.now() - killedAt)} ms`);
+  nodes.start(first);
+  await sleep(2 * LEASE_S * 1000);
+  console.log(`after failover: ${fleet.leasesLost - lost} leases lost, ${held()} tasks`);
+  nodes.killAll();
+  await sleep(1000);
+  nodes.startAll();
+  await sleep(2 * LEASE_S * 1000);
+  console.log(`after restart of all: ${fleet.leasesLost - lost} leases lost, ${held()} tasks`);
+  for (const i of NODES.keys()) if (i > 0) nodes.kill(i);
+  await sleep(3 * LEASE_S * 1000);
+  console.log(
+    `one node left: ${fleet.leasesLost - lost} leases lost, ${fleet.refused} reports refused or unanswered in all, ${held()} tasks`,
+  );
+  const { residentMb, peakMb } = nodes.usage(0);
+  console.log(`that node: ${residentMb} MB, peak ${peakMb} MB`);
+  console.log(`duplicates: ${fleet.history.duplicates().length}`);
+} finally {
+  nodes.killAll();
+  console.log(`logs: ${nodes.logs}`);
+  process.exit();
+}
