--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -63,10 +63,11 @@
     .command("serve")
     .description("run a node")
     .requiredOption("--config <file>", "the platform's settings (TOML)")
-    .action(async ({ config }: { config: string }) => {
+    .option("--standby", "keep the records while another node leads, so as to take over from it warm", false)
+    .action(async ({ config, standby }: { config: string; standby: boolean }) => {
       const { loadServer } = await import("./server-bundle.js");
       const { server, cacheProblem } = loadServer();
-      server.serve(config, cacheProblem);
+      server.serve(config, { cacheProblem, standby });
     });
   program
     .command("submit")
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -64,7 +64,10 @@
     }),
     cloud: v.object({ rps: positive, list_lag_s: v.pipe(v.number(), v.finite(), v.minValue(0)) }),
     quota: v.optional(
-      v.object({ max_connections: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 1000) }),
+      v.object({
+        max_connections: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 1000),
+        ram_mb: v.optional(positive, 128),
+      }),
       {},
     ),
   }),
@@ -77,6 +80,7 @@
   readonly cloud: Endpoint;
   readonly state: Endpoint;
   readonly maxConnections: number;
+  readonly memoryMb: number;
   readonly deployment: Deployment;
 }
 
@@ -163,6 +167,7 @@
     cloud: port(s.endpoints.cloud, "endpoints.cloud"),
     state: port(s.endpoints.state, "endpoints.state"),
     maxConnections: d.quota.max_connections,
+    memoryMb: d.quota.ram_mb,
     deployment: {
       node: s.node,
       peers: s.known.map((peer) => peer.node),
--- a/src/core/cloud-inventory.ts
+++ b/src/core/cloud-inventory.ts
@@ -10,6 +10,8 @@
 const PAGE_RETRY_MS = 1000;
 /** The part of the cloud's calls that may be spent on lists: rentals and releases need the rest. */
 const LIST_SHARE = 0.4;
+/** So many pages follow each other at once; the next ones come no faster than the cloud allows calls. */
+const BURST_PAGES = 4;
 /** Copies of reports may come this long after their machine is gone. */
 const RELEASED_KEPT_MS = 600_000;
 /** An excess of machines over what the operators allow is told of in the log this often. */
@@ -32,7 +34,7 @@
   #listedAt = Number.NEGATIVE_INFINITY;
   #listAt = Number.NEGATIVE_INFINITY;
   #stopped = false;
-  /** A page that was refused: where the list goes on, and when. */
+  /** Where the list goes on, and when. */
   #resume: { readonly after: string | null; readonly at: number } | null = null;
   #pages = 0;
   #typesAt = Number.NEGATIVE_INFINITY;
@@ -87,8 +89,9 @@
       this.#pages++;
       for (const listed of answer.machines) this.#listed(listed);
       const last = answer.machines.at(-1);
-      if (answer.more && last) this.#page(last.name);
-      else this.#completed();
+      if (!answer.more || !last) this.#completed();
+      else if (this.#pages < BURST_PAGES) this.#page(last.name);
+      else this.#resume = { after: last.name, at: this.#ctx.now + 1000 / this.#ctx.deployment.cloudRps };
     });
   }
 
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,3 +1,6 @@
+import { standsBy, type Warmth } from "../standby/role.js";
+import { Standby } from "../standby/standby.js";
+import { Takeover } from "../standby/takeover.js";
 import { Administration } from "./administration.js";
 import { type Budget, Context } from "./context.js";
 import { FeatureGate } from "./feature-gate.js";
@@ -6,9 +9,19 @@
 import { Leadership } from "./leadership.js";
 import { Directory } from "./names.js";
 import { seeded } from "./random.js";
+import type { RecordSource } from "./record-reader.js";
 import { KEYS, PROTOCOL } from "./records.js";
 import { ReportRouter } from "./report-router.js";
-import type { Command, Deployment, Effect, PeerMessage, Report, ReportAnswer, StateItem } from "./types.js";
+import type {
+  Command,
+  Deployment,
+  Effect,
+  Order,
+  PeerMessage,
+  Report,
+  ReportAnswer,
+  StateItem,
+} from "./types.js";
 import { ConfigView } from "./view.js";
 
 const HEARTBEAT_MS = 1000;
@@ -22,11 +35,16 @@
 const UNREADY_AFTER_MS = 2500;
 const PROGRESS_KEPT = 20_000;
 
+/** While a peer could lead from its cache, the others leave it this long to stand first. */
+const DEFER_MS = 600;
+
 interface Peer {
   heardAt: number;
   stateOk: boolean;
   workersHeard: number;
   up: boolean;
+  /** Undefined for a peer that can't stand by. */
+  standby: Warmth | undefined;
 }
 
 export interface Identity {
@@ -34,6 +52,8 @@
   readonly seed: number;
   /** Wall time at `now` 0. */
   readonly epochMs: number;
+  /** The most bytes that this node may keep of the records while another leads; 0 or absent: it does not stand by. */
+  readonly standbyBytes?: number;
 }
 
 /** The whole of a node without its inputs and outputs: commands and the time go in, effects come out. */
@@ -49,6 +69,9 @@
   readonly #peers = new Map<string, Peer>();
   readonly #progress = new Map<string, { done: number; running: number }>();
   readonly #reports: ReportRouter;
+  readonly #standby: Standby | null;
+  readonly #takeover = new Takeover();
+  #standsBy = false;
   #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
 
@@ -61,7 +84,10 @@
     this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
       elected: (term) => {
         this.ctx.log("info", "elected", { token: term.token });
-        this.leaderTerm = new LeaderTerm(this.ctx, this.view, this.leadership, term, this.gate);
+        this.#takeover.note("elected", this.ctx.now);
+        this.leaderTerm = new LeaderTerm(this.ctx, this.view, this.leadership, term, this.gate, (cold) =>
+          this.#recordSource(term.version, cold),
+        );
         this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
       deposed: (why) => {
@@ -71,6 +97,8 @@
         this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
       alone: () => this.#alone,
+      deferMs: () => this.#deferMs,
+      vacant: () => this.#takeover.begin(this.ctx.now),
       startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
       knownThrough: () => this.leaderTerm?.knownThrough ?? null,
     });
@@ -90,12 +118,15 @@
       oldPeerHeard: () => this.#oldPeerHeard,
       counts: (uid) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
+    const { standbyBytes = 0 } = identity;
+    this.#standby = standbyBytes > 0 ? new Standby(this.ctx, standbyBytes) : null;
     for (const name of deployment.peers) {
       this.#peers.set(name, {
         heardAt: Number.NEGATIVE_INFINITY,
         stateOk: false,
         workersHeard: 0,
         up: false,
+        standby: undefined,
       });
     }
   }
@@ -143,7 +174,55 @@
       this.#reports.answerWaiting();
       this.leaderTerm?.settle(budget);
     });
-    return this.ctx.takeEffects();
+    const effects = this.ctx.takeEffects();
+    if (this.leaderTerm && !this.#takeover.isOver) this.#noteTakeover(this.leaderTerm, effects);
+    return effects;
+  }
+
+  /* ---- the standby ---- */
+
+  #standBy(): void {
+    if (!this.#standby) return;
+    const leader = this.leaderName;
+    // While nobody leads the roles stay: the cache is wanted at just that moment.
+    if (leader !== null) {
+      const peers = [...this.#peers].map(([node, peer]) => {
+        return { node, isHeard: this.#isFresh(peer), warmth: peer.standby };
+      });
+      this.#standsBy = standsBy(this.ctx.deployment.node, leader, peers);
+    }
+    this.#standby.tick(this.#standsBy);
+  }
+
+  #recordSource(revision: number, cold: RecordSource): RecordSource {
+    const chosen = (source: "warm" | "cold", why: string | null) => {
+      this.#takeover.source = source;
+      this.#takeover.why = why;
+      this.#takeover.note("confirmed", this.ctx.now);
+    };
+    this.#standsBy = false;
+    return this.#standby?.source(revision, cold, { chosen }) ?? cold;
+  }
+
+  /** A node that could lead from its cache stands at once; the others leave it a moment. */
+  get #deferMs(): number {
+    if (!this.#standby || this.#standby.warmth === "warm") return 0;
+    const leader = this.leaderName;
+    const isOtherWarm = [...this.#peers].some(
+      ([node, peer]) => node !== leader && peer.standby === "warm" && this.#isFresh(peer),
+    );
+    return isOtherWarm ? DEFER_MS : 0;
+  }
+
+  #noteTakeover(leaderTerm: LeaderTerm, effects: readonly Effect[]): void {
+    const { now } = this.ctx;
+    if (leaderTerm.fleet.loaded) this.#takeover.note("ready", now);
+    for (const effect of effects) {
+      const orders = ordersOf(effect);
+      if (orders === null) continue;
+      if (effect.t !== "do") this.#takeover.note("firstAnswer", now);
+      if (orders.some(({ op }) => op === "start")) this.#takeover.note("firstStart", now);
+    }
   }
 
   /**
@@ -218,6 +297,7 @@
     this.intake.comparePolls();
     this.leadership.tick();
     this.leaderTerm?.tick(budget);
+    this.#standBy();
     const { now } = this.ctx;
     if (this.leaderTerm && !this.gate.isOpen) this.gate.tick();
     if (now - this.#heartbeatAt >= HEARTBEAT_MS) {
@@ -265,6 +345,7 @@
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
       workersHeard: this.#reports.workersHeard(),
       protocol: PROTOCOL,
+      standby: this.#standby?.warmth,
     };
     for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
   }
@@ -277,6 +358,7 @@
         peer.heardAt = this.ctx.now;
         peer.stateOk = message.stateOk;
         peer.workersHeard = message.workersHeard;
+        peer.standby = message.standby;
         this.gate.peerSpeaks(from, message.protocol);
         this.leadership.sawToken(message.token);
         this.leadership.peerShows(from, message.token);
@@ -336,7 +418,9 @@
         [...this.#peers].map(([name, peer]) => [name, { link: peer.up, state_ok: peer.stateOk }]),
       ),
     };
-    return leaderTerm ? { ...base, ...this.#leaderStatus(leaderTerm) } : base;
+    const standby = this.#standby ? { standby: this.#standby.report(this.view.revision) } : {};
+    const status = { ...base, ...standby, takeover: this.#takeover.report() };
+    return leaderTerm ? { ...status, ...this.#leaderStatus(leaderTerm) } : status;
   }
 
   #leaderStatus(leaderTerm: LeaderTerm): Record<string, unknown> {
@@ -369,3 +453,10 @@
     };
   }
 }
+
+/** What an effect tells a worker; null if it is for none. */
+function ordersOf(effect: Effect): readonly Order[] | null {
+  if (effect.t === "do") return effect.orders;
+  if (effect.t !== "reportAnswer" && effect.t !== "peerReportAnswer") return null;
+  return effect.answer.t === "orders" ? effect.answer.orders : null;
+}
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -8,10 +8,11 @@
 import { ProgressReports } from "./progress-reports.js";
 import { Provisioner } from "./provisioner.js";
 import { Rebalancer } from "./rebalancer.js";
+import type { RecordSource, StoredRecords } from "./record-reader.js";
 import { Recorder } from "./recorder.js";
 import { KEYS, readBucket, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
-import { StateFeed, type StoredRecords } from "./state-feed.js";
+import { StateFeed } from "./state-feed.js";
 import { readChunks, type StoredChunk } from "./stored-chunks.js";
 import { type Job, type Machine, type Placement, Tables } from "./tables.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
@@ -45,7 +46,15 @@
   #surveyAt = Number.NEGATIVE_INFINITY;
   #writingTypes = false;
 
-  constructor(ctx: Context, view: ConfigView, leadership: Leadership, term: Term, gate: FeatureGate) {
+  constructor(
+    ctx: Context,
+    view: ConfigView,
+    leadership: Leadership,
+    term: Term,
+    gate: FeatureGate,
+    /** Chooses where the records come from, given the source that reads all of them. */
+    chooseSource: (cold: RecordSource) => RecordSource,
+  ) {
     this.#ctx = ctx;
     this.#view = view;
     this.#leadership = leadership;
@@ -84,7 +93,7 @@
     this.rebalancer = new Rebalancer(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
     this.#progress = new ProgressReports(ctx, this.tables);
     this.#feed = new StateFeed(ctx, leadership, (item) => this.learnJob(item));
-    this.#feed.load((records) => this.#rebuild(records));
+    this.#feed.load(chooseSource, (records) => this.#rebuild(records));
   }
 
   /** Every change of a job's key before this time has been applied here; null before the records are read. */
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -8,6 +8,8 @@
 const MARGIN_MS = 250;
 const CALL_MS = 900;
 const STAY_OUT_MS = 20_000;
+/** Nodes stand one after the other within so long, by chance. */
+const STAND_SPREAD_MS = 150;
 const ALONE_HOLD_GRANTS = 2;
 /** The longest that a follow of the job keys waits for a change. */
 const FOLLOW_MS = 2000;
@@ -43,6 +45,10 @@
   knownThrough(): number | null;
   /** True while no other node is heard. */
   alone(): boolean;
+  /** How long this node leaves it to others to stand, once the leader is gone. */
+  deferMs(): number;
+  /** The leader's key is gone, for all that this node knows. */
+  vacant(): void;
 }
 
 /**
@@ -196,9 +202,11 @@
       if (held && held.version > term.version) this.stepDown("another leader is recorded");
       else if (held === null) this.stepDown("the leader key is gone");
     }
+    if (key === KEYS.leader && !this.#view.leader) this.#events.vacant();
     // The key is gone: stand soon, but not all nodes in the same moment.
     if (key === KEYS.leader && !this.#view.leader && this.state.t === "follower") {
-      this.#runAt = Math.max(this.#runAt, this.#ctx.now + int(this.#ctx.random, 0, 150));
+      const deferMs = this.#events.deferMs() + int(this.#ctx.random, 0, STAND_SPREAD_MS);
+      this.#runAt = Math.max(this.#runAt, this.#ctx.now + deferMs);
     }
   }
 
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -255,6 +255,8 @@
       readonly workersHeard: number;
       /** The protocol that the sender speaks; absent in the version before the first that has one. */
       readonly protocol?: number | undefined;
+      /** Whether the sender could lead from its cache of the records; absent where the standby is not switched on. */
+      readonly standby?: "cold" | "warm" | undefined;
     }
   | { readonly t: "job"; readonly item: StateItem }
   | { readonly t: "progress"; readonly rows: readonly (readonly [string, number, number])[] }
--- a/src/core/view.ts
+++ b/src/core/view.ts
@@ -36,7 +36,8 @@
   loaded = false;
   readonly #ctx: Context;
   readonly #changed: (key: string) => void;
-  #revision = 0;
+  /** The revision of the state service as of the last answer. */
+  revision = 0;
   #reading = false;
   #following = false;
   #retryAt = 0;
@@ -66,13 +67,13 @@
         this.#retryAt = this.#ctx.now + RETRY_MS;
         return;
       }
-      if (this.loaded && answer.revision < this.#revision) return;
+      if (this.loaded && answer.revision < this.revision) return;
       const present = new Set(answer.items.map((item) => item.key));
       for (const key of [KEYS.leader, KEYS.move, KEYS.modes]) {
         if (!present.has(key)) this.#drop(key);
       }
       for (const item of answer.items) this.note(item);
-      this.#revision = Math.max(this.#revision, answer.revision);
+      this.revision = Math.max(this.revision, answer.revision);
       const first = !this.loaded;
       this.loaded = true;
       if (first) this.#changed(KEYS.config);
@@ -82,7 +83,7 @@
 
   #follow(): void {
     this.#following = true;
-    const after = this.#revision;
+    const after = this.revision;
     const call = { t: "follow", prefix: KEYS.config, after, waitMs: FOLLOW_MS } as const;
     this.#ctx.state(call, FOLLOW_MS + 2000, (answer) => {
       this.#following = false;
@@ -91,7 +92,7 @@
           if (event.t === "put") this.note(event.item);
           else this.#drop(event.key, event.version);
         }
-        this.#revision = Math.max(this.#revision, answer.revision);
+        this.revision = Math.max(this.revision, answer.revision);
         this.tick();
       } else if (answer.t === "compacted") {
         this.#read();
--- a/src/shell/outside.ts
+++ b/src/shell/outside.ts
@@ -9,18 +9,21 @@
 const CLOUD_TIMEOUT_MS = 5000;
 const WORKER_TIMEOUT_MS = 1500;
 
+/** The common keys, the jobs or, on the standby, three prefixes of records; with room for those that are being closed. */
+const FOLLOWS = 6;
+
 /** The state service. Long-held follows have sockets of their own, so that they never delay a call. */
 export class StateClient {
   readonly #at: Endpoint;
   readonly #calls = new HttpClient(24);
-  readonly #follows = new HttpClient(4);
+  readonly #follows = new HttpClient(FOLLOWS);
 
   constructor(at: Endpoint) {
     this.#at = at;
   }
 
   call(call: StateCall, timeoutMs: number, then: (answer: StateAnswer) => void): void {
-    const client = call.t === "follow" ? this.#follows : this.#calls;
+    const client = call.t === "follow" && call.waitMs > 0 ? this.#follows : this.#calls;
     client.call(this.#at, encodeStateCall(call), timeoutMs, (answer) => {
       then(answer === null ? { t: "silent" } : decodeStateAnswer(call, answer.status, answer.body));
     });
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -20,6 +20,7 @@
     stateOk: v.boolean(),
     workersHeard: count,
     protocol: v.optional(count),
+    standby: v.optional(v.picklist(["cold", "warm"])),
   }),
   v.object({
     t: v.literal("job"),
--- a/src/shell/serve.ts
+++ b/src/shell/serve.ts
@@ -8,8 +8,19 @@
 
 export { compileAhead } from "./compile-ahead.js";
 
-/** Runs a node until it is killed. `cacheProblem` tells why this program was loaded without its code cache. */
-export function serve(configPath: string, cacheProblem: string | null): void {
+/** What of its memory a node may use for the records that it keeps as the standby. */
+const STANDBY_PART = 1 / 16;
+const MB = 1024 * 1024;
+
+export interface ServeOptions {
+  /** Why this program was loaded without its code cache; null if it was loaded with it. */
+  readonly cacheProblem: string | null;
+  /** Whether this node keeps the records while another leads. */
+  readonly standby: boolean;
+}
+
+/** Runs a node until it is killed. */
+export function serve(configPath: string, { cacheProblem, standby }: ServeOptions): void {
   const settings = loadSettings(configPath);
   const log = openLog(process.env.LOG_LEVEL, settings.deployment.node);
   if (cacheProblem !== null) log.info({ why: cacheProblem }, "started without the code cache");
@@ -20,6 +31,7 @@
     incarnation: nonce.toString("hex"),
     seed: nonce.readInt32LE(0),
     epochMs: Date.now() - performance.now(),
+    standbyBytes: standby ? settings.memoryMb * MB * STANDBY_PART : 0,
   };
   const failed = (error: Error) => {
     log.error({ error: error.message }, "cannot listen");
--- a/tools/loopback/nodes.ts
+++ b/tools/loopback/nodes.ts
@@ -4,10 +4,13 @@
 import { join } from "node:path";
 import { parse } from "smol-toml";
 
-export const STATE_PORT = 18_379;
-export const CLOUD_PORT = 18_443;
-const CLIENT_PORT = 18_080;
-const PEER_PORT = 18_180;
+/** Several measurements run beside each other with a base each. */
+const PORT_BASE = Number(process.env.PORT_BASE ?? 18_000);
+export const STATE_PORT = PORT_BASE + 1;
+export const CLOUD_PORT = PORT_BASE + 2;
+const CLIENT_PORT = PORT_BASE + 3;
+const PEER_PORT = PORT_BASE + 4;
+export const WORKER_PORT = PORT_BASE + 5;
 const COUNT = 3;
 
 export interface NodeOptions {
--- a/tools/loopback/worker-fleet.ts
+++ b/tools/loopback/worker-fleet.ts
@@ -2,11 +2,11 @@
 import net from "node:net";
 import { History, type Stay } from "./history.js";
 import { readBody, reply } from "./http.js";
+import { WORKER_PORT } from "./nodes.js";
 
 const LEAST_BETWEEN_MS = 500;
 const TRY_NEXT_MS = 1000;
 const ANSWER_MS = 4000;
-const WORKER_PORT = 19_000;
 
 interface Task {
   readonly piece: string;
