--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -70,7 +70,8 @@
   readonly #progress = new Map<string, { done: number; running: number }>();
   readonly #reports: ReportRouter;
   readonly #standby: Standby | null;
-  readonly #takeover = new Takeover();
+  /** The steps of this node's last takeover. */
+  readonly takeover = new Takeover();
   #standsBy = false;
   #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
@@ -84,7 +85,7 @@
     this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
       elected: (term) => {
         this.ctx.log("info", "elected", { token: term.token });
-        this.#takeover.note("elected", this.ctx.now);
+        this.takeover.note("elected", this.ctx.now);
         this.leaderTerm = new LeaderTerm(this.ctx, this.view, this.leadership, term, this.gate, (cold) =>
           this.#recordSource(term.version, cold),
         );
@@ -98,7 +99,7 @@
       },
       alone: () => this.#alone,
       deferMs: () => this.#deferMs,
-      vacant: () => this.#takeover.begin(this.ctx.now),
+      vacant: () => this.takeover.begin(this.ctx.now),
       startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
       knownThrough: () => this.leaderTerm?.knownThrough ?? null,
     });
@@ -175,7 +176,7 @@
       this.leaderTerm?.settle(budget);
     });
     const effects = this.ctx.takeEffects();
-    if (this.leaderTerm && !this.#takeover.isOver) this.#noteTakeover(this.leaderTerm, effects);
+    if (this.leaderTerm && !this.takeover.isOver) this.#noteTakeover(this.leaderTerm, effects);
     return effects;
   }
 
@@ -196,12 +197,14 @@
 
   #recordSource(revision: number, cold: RecordSource): RecordSource {
     const chosen = (source: "warm" | "cold", why: string | null) => {
-      this.#takeover.source = source;
-      this.#takeover.why = why;
-      this.#takeover.note("confirmed", this.ctx.now);
+      this.takeover.source = source;
+      this.takeover.why = why;
+      this.takeover.note("confirmed", this.ctx.now);
     };
     this.#standsBy = false;
-    return this.#standby?.source(revision, cold, { chosen }) ?? cold;
+    if (this.#standby) return this.#standby.source(revision, cold, { chosen });
+    chosen("cold", "the standby is not switched on");
+    return cold;
   }
 
   /** A node that could lead from its cache stands at once; the others leave it a moment. */
@@ -216,12 +219,12 @@
 
   #noteTakeover(leaderTerm: LeaderTerm, effects: readonly Effect[]): void {
     const { now } = this.ctx;
-    if (leaderTerm.fleet.loaded) this.#takeover.note("ready", now);
+    if (leaderTerm.fleet.loaded) this.takeover.note("ready", now);
     for (const effect of effects) {
       const orders = ordersOf(effect);
       if (orders === null) continue;
-      if (effect.t !== "do") this.#takeover.note("firstAnswer", now);
-      if (orders.some(({ op }) => op === "start")) this.#takeover.note("firstStart", now);
+      if (effect.t !== "do") this.takeover.note("firstAnswer", now);
+      if (orders.some(({ op }) => op === "start")) this.takeover.note("firstStart", now);
     }
   }
 
@@ -419,7 +422,7 @@
       ),
     };
     const standby = this.#standby ? { standby: this.#standby.report(this.view.revision) } : {};
-    const status = { ...base, ...standby, takeover: this.#takeover.report() };
+    const status = { ...base, ...standby, takeover: this.takeover.report() };
     return leaderTerm ? { ...status, ...this.#leaderStatus(leaderTerm) } : status;
   }
 
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -46,6 +46,8 @@
   readonly cloudCalls: CloudCall[] = [];
   readonly faults: string[] = [];
   readonly logged: string[] = [];
+  /** The prefixes of which pages were asked for. */
+  readonly lists: string[] = [];
   /** The nodes that reports were passed on to. */
   readonly relays: string[] = [];
   /** What the state service does with a call; null answers for real. */
@@ -77,9 +79,10 @@
     state = new StateService(),
     incarnation = `${node}-1`,
     settings: Partial<Deployment> = {},
+    standbyBytes = 0,
   ) {
     this.state = state;
-    const identity = { incarnation, seed: 7, epochMs: 1_000_000 };
+    const identity = { incarnation, seed: 7, epochMs: 1_000_000, standbyBytes };
     this.core = new Controller({ ...deployment(node), ...settings }, identity);
   }
 
@@ -135,13 +138,22 @@
   }
 
   #stateCall(id: number, call: StateCall): void {
-    if (call.t === "follow") {
+    if (call.t === "list") this.lists.push(call.prefix);
+    const ruled = this.stateRule?.(call) ?? null;
+    if (
+      call.t === "follow" &&
+      call.waitMs > 0 &&
+      (ruled === null || ruled === "hang" || ruled.t !== "silent")
+    ) {
       this.#follows.push({ id, call, at: this.now });
       return;
     }
-    const ruled = this.stateRule?.(call) ?? null;
     if (ruled === "hang") this.hung.push({ id, call });
-    else this.give({ t: "state", id, answer: ruled ?? this.state.run(call, this.now) });
+    else if (call.t === "follow") {
+      const found = ruled ?? this.state.since(call.prefix, call.after);
+      const none = { t: "events", events: [], revision: this.state.revision } as const;
+      this.give({ t: "state", id, answer: found ?? none });
+    } else this.give({ t: "state", id, answer: ruled ?? this.state.run(call, this.now) });
   }
 
   /** Lets time pass in ticks of 100 ms. */
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -57,8 +57,8 @@
 }
 
 /** Plays a world of random jobs, cancellations and troubles; quiet for the last part, so that work can finish. */
-export function play(seed: number, trouble: Trouble, scale = 1): World {
-  const world = new World(seed, trouble, scale);
+export function play(seed: number, trouble: Trouble, scale = 1, standby = false): World {
+  const world = new World(seed, trouble, scale, standby);
   let next = 1;
   const ids: string[] = [];
   for (let second = 1; second <= PLAY_S; second++) {
@@ -155,40 +155,67 @@
 const LARGE = new Set(["many machines together", "down, ended and rolled", "everything"]);
 const LARGE_SCALE = 20;
 
+/** The rules, and the users' checks at the end of a day. */
+function check(world: World, seed: number): void {
+  assert.deepEqual(world.violations, [], `seed ${seed}`);
+  assert.ok(world.starts > 0, `seed ${seed}: nothing ran`);
+  for (const job of world.jobs.values()) {
+    if (job.acceptedAt === null) continue;
+    const unansweredS = (world.now - job.answeredAt) / 1000;
+    assert.ok(unansweredS < 75, `seed ${seed}: ${job.spec.uid} is forgotten: ${unansweredS} s`);
+  }
+  const late = world.lateStarts.filter((ms) => ms > LATE_START_MS);
+  assert.deepEqual(late, [], `seed ${seed}: starts long after a confirmed cancellation`);
+  const finishable = [...world.jobs.values()].filter(
+    (job) => job.spec.shape !== "service" && job.acceptedAt !== null && !world.isCalledOff(job),
+  );
+  // Of each class, team and the largest jobs at least half is served; on few jobs that says nothing.
+  const largest = finishable.filter(({ spec }) => spec.tasks >= (spec.shape === "gang" ? 2 : 9));
+  const kinds = new Map([["the largest", largest]]);
+  for (const job of finishable)
+    for (const kind of [job.spec.jobClass, job.spec.team]) kinds.set(kind, [...(kinds.get(kind) ?? []), job]);
+  for (const [kind, jobs] of kinds) {
+    const served = jobs.filter((job) => job.finishedAt !== null).length;
+    if (jobs.length >= 3)
+      assert.ok(served * 2 >= jobs.length, `seed ${seed}: ${kind}: ${served} of ${jobs.length}`);
+  }
+  const finished = finishable.filter((job) => job.toldDone).length;
+  assert.ok(
+    finished >= finishable.length * 0.9,
+    `seed ${seed}: ${finished} of ${finishable.length} jobs done`,
+  );
+}
+
 for (const [name, trouble] of Object.entries(TROUBLES)) {
   test(`no rule is broken: ${name}`, () => {
     const seeds = Number(process.env.WORLD_SEEDS ?? 3);
     const first = Number(process.env.WORLD_FIRST ?? 1);
+    for (let seed = first; seed < first + seeds; seed++)
+      check(play(seed, trouble, LARGE.has(name) && seed % 3 === 0 ? LARGE_SCALE : 1), seed);
+  });
+}
+
+/** The days on which leaders change most, played again with a standby. */
+const WITH_STANDBY = [
+  "crashing controllers",
+  "lonely controllers",
+  "controllers that stand still",
+  "two troubles that meet",
+  "an upgrade among troubles",
+  "everything",
+];
+
+for (const name of WITH_STANDBY) {
+  test(`no rule is broken with a warm standby: ${name}`, () => {
+    const seeds = Number(process.env.WORLD_SEEDS ?? 2);
+    const first = Number(process.env.WORLD_FIRST ?? 1);
+    const takeovers: string[] = [];
     for (let seed = first; seed < first + seeds; seed++) {
-      const world = play(seed, trouble, LARGE.has(name) && seed % 3 === 0 ? LARGE_SCALE : 1);
-      assert.deepEqual(world.violations, [], `seed ${seed}`);
-      assert.ok(world.starts > 0, `seed ${seed}: nothing ran`);
-      for (const job of world.jobs.values()) {
-        if (job.acceptedAt === null) continue;
-        const unansweredS = (world.now - job.answeredAt) / 1000;
-        assert.ok(unansweredS < 75, `seed ${seed}: ${job.spec.uid} is forgotten: ${unansweredS} s`);
-      }
-      const late = world.lateStarts.filter((ms) => ms > LATE_START_MS);
-      assert.deepEqual(late, [], `seed ${seed}: starts long after a confirmed cancellation`);
-      const finishable = [...world.jobs.values()].filter(
-        (job) => job.spec.shape !== "service" && job.acceptedAt !== null && !world.isCalledOff(job),
-      );
-      // Of each class, team and the largest jobs at least half is served; on few jobs that says nothing.
-      const largest = finishable.filter(({ spec }) => spec.tasks >= (spec.shape === "gang" ? 2 : 9));
-      const kinds = new Map([["the largest", largest]]);
-      for (const job of finishable)
-        for (const kind of [job.spec.jobClass, job.spec.team])
-          kinds.set(kind, [...(kinds.get(kind) ?? []), job]);
-      for (const [kind, jobs] of kinds) {
-        const served = jobs.filter((job) => job.finishedAt !== null).length;
-        if (jobs.length >= 3)
-          assert.ok(served * 2 >= jobs.length, `seed ${seed}: ${kind}: ${served} of ${jobs.length}`);
-      }
-      const finished = finishable.filter((job) => job.toldDone).length;
-      assert.ok(
-        finished >= finishable.length * 0.9,
-        `seed ${seed}: ${finished} of ${finishable.length} jobs done`,
-      );
+      const world = play(seed, TROUBLES[name] ?? NO_TROUBLE, 1, true);
+      takeovers.push(...world.takeovers);
+      check(world, seed);
     }
+    const warm = takeovers.filter((source) => source === "warm").length;
+    assert.ok(warm > 0, `${warm} of ${takeovers.length} takeovers were warm`);
   });
 }
--- /dev/null
+++ b/test/standby.test.ts
@@ -0,0 +1,257 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { StateAnswer, StateCall } from "../src/core/types.js";
+import { standsBy } from "../src/standby/role.js";
+import { Bench, job } from "./bench.js";
+import { StateService } from "./state-service.js";
+
+const MOST_BYTES = 8 * 1024 * 1024;
+const MACHINES = ["M0", "M1"];
+const RECORDS = ["m/", "p/", "j/"];
+
+/** Every machine reports what it was told to start as running. */
+function reportAll(leader: Bench): void {
+  for (const name of MACHINES) {
+    const started = leader.sent
+      .filter(({ machine }) => machine === name)
+      .flatMap(({ orders }) => orders.filter(({ op }) => op === "start"));
+    leader.report(
+      name,
+      started.map(({ uid, task, attempt }) => ({ uid, task, attempt, state: "running" as const })),
+    );
+  }
+}
+
+/** A leader with work on its machines, and a follower that may keep the records. */
+function pair(standbyBytes = MOST_BYTES): { leader: Bench; follower: Bench; both: (ms: number) => void } {
+  const state = new StateService();
+  const leader = new Bench("n0", state).lead();
+  const follower = new Bench("n1", state, "n1-1", {}, standbyBytes);
+  follower.now = leader.now;
+  const both = (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 100) {
+      if (passed % 1000 === 0) reportAll(leader);
+      leader.pass(100);
+      follower.pass(100);
+    }
+  };
+  reportAll(leader);
+  leader.submit(job("j-1", { tasks: 3, estimateS: 600 }));
+  leader.submit(job("j-2", { tasks: 2, estimateS: 600, team: "blue" }));
+  for (let i = 0; i < 3; i++) {
+    both(500);
+    reportAll(leader);
+  }
+  return { leader, follower, both };
+}
+
+/** The leader ends; its grant runs out, and the follower takes over. */
+function takeOver(follower: Bench): void {
+  follower.lists.length = 0;
+  follower.now += 4000;
+  follower.state.expire(follower.now);
+  follower.pass(2000);
+}
+
+function standbyOf(b: Bench): Record<string, unknown> {
+  return b.core.status().standby as Record<string, unknown>;
+}
+
+/** What a leader begins with, in words that can be compared. */
+function tablesOf(b: Bench): unknown {
+  const { leaderTerm } = b.core;
+  assert.ok(leaderTerm?.fleet.loaded, "it leads and has its records");
+  const { jobs, machines } = leaderTerm.tables;
+  return {
+    jobs: [...jobs.values()].map(({ uid, state, version, doneCount, held }) => ({
+      uid,
+      state,
+      version,
+      doneCount,
+      held: [...held.values()].map((p) => [p.task, p.machine.name, p.session, p.attempt]),
+    })),
+    machines: [...machines.values()].map(({ name, address, typeName, zone, bucket }) => [
+      name,
+      address,
+      typeName,
+      zone,
+      bucket,
+    ]),
+  };
+}
+
+test("a warm follower leads without reading the records again, and with the tables of a cold one", () => {
+  const { follower, both } = pair();
+  both(6000);
+  assert.equal(standbyOf(follower).state, "warm");
+  const other = new Bench("n2", structuredCopy(follower.state));
+  other.now = follower.now;
+  takeOver(follower);
+  takeOver(other);
+  assert.equal(follower.core.takeover.source, "warm");
+  assert.deepEqual(
+    follower.lists.filter((prefix) => RECORDS.includes(prefix)),
+    [],
+  );
+  assert.equal(other.core.takeover.source, "cold");
+  assert.deepEqual(tablesOf(follower), tablesOf(other));
+});
+
+function structuredCopy(state: StateService): StateService {
+  const copy = new StateService();
+  for (const [key, item] of state.items) if (key !== "c/leader") copy.items.set(key, structuredClone(item));
+  copy.revision = state.revision;
+  copy.log.push(...state.log);
+  return copy;
+}
+
+test("what was written between the last follow and the election is in the tables: a cancellation, a placement", () => {
+  const { leader, follower, both } = pair();
+  both(6000);
+  // From here on the follower's watches hang; a third node confirms a cancellation, the leader places another job.
+  const isFollow = (call: StateCall) => call.t === "follow";
+  follower.stateRule = (call) => (isFollow(call) ? "hang" : null);
+  follower.pass(500);
+  const third = new Bench("n2", leader.state);
+  third.now = leader.now;
+  third.pass(1000);
+  leader.submit(job("j-3", { tasks: 1, estimateS: 600 }));
+  leader.pass(500);
+  assert.equal(third.cancel("j-1")?.t, "view");
+  follower.stateRule = null;
+  takeOver(follower);
+  assert.equal(follower.core.takeover.source, "warm");
+  const jobs = follower.core.leaderTerm?.tables;
+  assert.equal(jobs?.jobByUid("j-1")?.state, "cancelled");
+  assert.equal(jobs?.jobByUid("j-3")?.held.size, 1, "its placement is known");
+});
+
+// Guarded against: a leader that acts on a copy it can't prove to be the latest.
+for (const [what, answer, why] of [
+  ["the changes since are no longer kept", { t: "compacted" }, "changes no longer kept"],
+  [
+    "the state service has gone back",
+    { t: "events", events: [], revision: 1 },
+    "the state service went back",
+  ],
+  ["no answer comes", { t: "silent" }, "no answer"],
+] as readonly [string, StateAnswer, string][]) {
+  test(`a cache is refused, and the records are read, if ${what}`, () => {
+    const { leader, follower, both } = pair();
+    both(6000);
+    assert.equal(standbyOf(follower).state, "warm");
+    leader.submit(job("j-9", { tasks: 1, estimateS: 600 }));
+    leader.pass(500);
+    follower.stateRule = (call) => (call.t === "follow" && call.waitMs === 0 ? answer : null);
+    takeOver(follower);
+    assert.equal(follower.core.takeover.source, "cold");
+    assert.equal(follower.core.takeover.why, why);
+    assert.ok(RECORDS.every((prefix) => follower.lists.includes(prefix)));
+    assert.equal(follower.core.leaderTerm?.tables.jobByUid("j-9")?.held.size, 1);
+    assert.ok(follower.logged.includes("the standby's records are not used"));
+  });
+}
+
+test("a feed that hangs makes the standby cold, and says why; it catches up without a new list", () => {
+  const { leader, follower, both } = pair();
+  both(6000);
+  // The watches under way answer with the next change; those after them get no answer.
+  leader.submit(job("j-4", { tasks: 1, estimateS: 600 }));
+  both(200);
+  follower.stateRule = (call) => (call.t === "follow" ? { t: "silent" } : null);
+  both(1000);
+  assert.equal(standbyOf(follower).state, "cold");
+  assert.equal(standbyOf(follower).why, "the state service does not answer");
+  follower.lists.length = 0;
+  follower.stateRule = null;
+  both(3000);
+  assert.equal(standbyOf(follower).state, "warm");
+  assert.deepEqual(
+    follower.lists.filter((prefix) => RECORDS.includes(prefix)),
+    [],
+  );
+});
+
+test("changes that are no longer kept make it cold until all is read again", () => {
+  const { leader, follower, both } = pair();
+  both(6000);
+  follower.lists.length = 0;
+  leader.submit(job("j-4", { tasks: 1, estimateS: 600 }));
+  leader.state.compactedThrough = leader.state.revision;
+  both(300);
+  assert.equal(standbyOf(follower).state, "cold");
+  both(5000);
+  assert.equal(standbyOf(follower).state, "warm");
+  assert.ok(follower.lists.includes("j/"));
+});
+
+test("records beyond the bound make the standby cold, give the memory back, and end nothing", () => {
+  const { follower, both } = pair(500);
+  both(6000);
+  const { state, why, bytes } = standbyOf(follower);
+  assert.equal(state, "cold");
+  assert.match(String(why), /the records take \d+ bytes, more than 500/);
+  assert.equal(bytes, 0);
+  takeOver(follower);
+  assert.equal(follower.core.takeover.source, "cold");
+  assert.ok(follower.core.leaderTerm?.fleet.loaded);
+});
+
+test("a record that can't be read is told of as in a cold read, and stays", () => {
+  const { follower, both } = pair();
+  follower.state.run({ t: "txn", conditions: [], changes: [{ put: "m/7", value: { machines: "?" } }] }, 0);
+  both(6000);
+  takeOver(follower);
+  assert.equal(follower.core.takeover.source, "warm");
+  assert.ok(follower.faults.includes("a record can't be read"));
+  assert.ok(follower.state.items.has("m/7"));
+});
+
+test("a standby that stands still follows no more until it keeps up; a slow node is no standby", () => {
+  const { follower, both } = pair();
+  both(6000);
+  follower.now += 5000;
+  follower.give({ t: "tick" });
+  assert.equal(standbyOf(follower).why, "this node is behind with its work");
+});
+
+test("the first by name of those that are heard and don't lead stands by; an older version is passed over", () => {
+  const peer = (node: string, isHeard: boolean, warmth: "cold" | "warm" | undefined) => ({
+    node,
+    isHeard,
+    warmth,
+  });
+  assert.equal(standsBy("n1", "n0", [peer("n0", true, "cold"), peer("n2", true, "cold")]), true);
+  assert.equal(standsBy("n2", "n0", [peer("n0", true, "cold"), peer("n1", true, "cold")]), false);
+  assert.equal(standsBy("n2", "n0", [peer("n0", true, "cold"), peer("n1", false, "warm")]), true, "gone");
+  assert.equal(standsBy("n2", "n0", [peer("n1", true, undefined)]), true, "of the version before");
+  assert.equal(standsBy("n0", "n0", []), false, "it leads");
+});
+
+test("while a peer is warm, the others leave it the election for a moment, and no longer", () => {
+  const state = new StateService();
+  const leader = new Bench("n0", state).lead();
+  const other = new Bench("n2", state, "n2-1", {}, MOST_BYTES);
+  other.now = leader.now;
+  other.pass(1000);
+  const beat = {
+    t: "beat",
+    token: 1,
+    leader: "n0",
+    stateOk: true,
+    workersHeard: 0,
+    standby: "warm",
+  } as const;
+  const electedAfter = (isWarm: boolean) => {
+    const message = isWarm ? beat : { ...beat, standby: "cold" as const };
+    other.give({ t: "peer", from: "n1", message });
+    state.expire(other.now + 10_000);
+    const begin = other.now;
+    while (!other.core.leaderTerm && other.now - begin < 3000) other.pass(100);
+    const took = other.now - begin;
+    other.core.leadership.handOver("test");
+    return took;
+  };
+  const deferred = electedAfter(true);
+  assert.ok(deferred >= 600 && deferred <= 1200, `${deferred} ms`);
+});
--- a/test/state-service.ts
+++ b/test/state-service.ts
@@ -137,7 +137,11 @@
     return low;
   }
 
+  /** Changes up to this revision are no longer kept. */
+  compactedThrough = 0;
+
   since(prefix: string, after: number): StateAnswer | null {
+    if (after < this.compactedThrough) return { t: "compacted" };
     const found = this.log.slice(this.#firstAfter(after)).filter((e) => e.key.startsWith(prefix));
     if (found.length === 0) return null;
     return {
--- a/test/world.ts
+++ b/test/world.ts
@@ -34,6 +34,7 @@
 const CLOSE_LOOKS = 0.3;
 /** The most machines in one page of the cloud's list. */
 const LIST_PAGE = 500;
+const STANDBY_BYTES = 8 * 1024 * 1024;
 
 interface Node {
   /** It is yet to be upgraded: it neither says nor hears which protocol others speak. */
@@ -116,6 +117,8 @@
   longestUnrenewedMs = 0;
   /** How long after its user was told of the cancellation a task of a job began, each time that one did. */
   readonly lateStarts: number[] = [];
+  /** Where each new leader had its records from. */
+  readonly takeovers: string[] = [];
   readonly logs: string[] = [];
   readonly #random;
   readonly #timeline = new Timeline();
@@ -135,7 +138,11 @@
   /** Machines of each type, zone and kind, times four; the teams' limits grow with them. */
   readonly #scale: number;
 
-  constructor(seed: number, trouble: Trouble, scale = 1) {
+  /** Whether the nodes keep the records while another leads. */
+  readonly #standby: boolean;
+
+  constructor(seed: number, trouble: Trouble, scale = 1, standby = false) {
+    this.#standby = standby;
     this.#random = seeded(seed);
     this.#trouble = trouble;
     this.#scale = scale;
@@ -249,6 +256,7 @@
       incarnation: `${node.name}-${epoch}`,
       seed: node.ix * 1000 + epoch,
       epochMs: 1_000_000_000,
+      standbyBytes: this.#standby && !node.old ? STANDBY_BYTES : 0,
     });
     for (const other of this.nodes) {
       if (other !== node) this.#give(node, { t: "peerLink", node: other.name, up: true });
@@ -361,6 +369,7 @@
       case "adminAnswer":
         break;
       case "log":
+        if (effect.text === "leader ready") this.takeovers.push(node.core?.takeover.source ?? "cold");
         if (effect.level !== "debug")
           this.logs.push(`${this.now} ${node.name} ${effect.text} ${JSON.stringify(effect.data)}`);
         break;
@@ -374,7 +383,10 @@
         const to = this.nodes.find((n) => n.name === effect.to);
         if (!to || this.#peersCut(node, to)) break;
         const copy = structuredClone(effect.message);
-        const message = copy.t === "beat" && (node.old || to.old) ? { ...copy, protocol: undefined } : copy;
+        const message =
+          copy.t === "beat" && (node.old || to.old)
+            ? { ...copy, protocol: undefined, standby: undefined }
+            : copy;
         this.#giveLater(to, to.epoch, this.between(1, 8), () => ({ t: "peer", from: node.name, message }));
         break;
       }
--- a/tools/measure-fleet.ts
+++ b/tools/measure-fleet.ts
@@ -89,12 +89,18 @@
   nodes.startAll();
   await sleep(2 * LEASE_S * 1000);
   console.log(`after restart of all: ${fleet.leasesLost - lost} leases lost, ${held()} tasks`);
-  for (const i of NODES.keys()) if (i > 0) nodes.kill(i);
-  await sleep(3 * LEASE_S * 1000);
-  console.log(
-    `one node left: ${fleet.leasesLost - lost} leases lost, ${fleet.refused} reports refused or unanswered in all, ${held()} tasks`,
-  );
-  const { residentMb, peakMb } = nodes.usage(0);
+  // A follower stays: it has to be elected, too, before it can answer.
+  const leading = (await leader()) ?? 0;
+  const left = (leading + 1) % NODES.length;
+  for (const i of NODES.keys()) if (i !== left) nodes.kill(i);
+  const [refused, answers] = [fleet.refused, fleet.answeredReports];
+  for (let i = 0; i < 9; i++) {
+    await sleep((LEASE_S * 1000) / 3);
+    console.log(
+      `  one node left: ${fleet.leasesLost - lost} leases lost, ${fleet.answeredReports - answers} reports answered, ${fleet.refused - refused} not, ${held()} tasks`,
+    );
+  }
+  const { residentMb, peakMb } = nodes.usage(left);
   console.log(`that node: ${residentMb} MB, peak ${peakMb} MB`);
   console.log(`duplicates: ${fleet.history.duplicates().length}`);
 } finally {
