--- /dev/null
+++ b/test/record-cache.test.ts
@@ -0,0 +1,145 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { Context } from "../src/core/context.js";
+import { Directory } from "../src/core/names.js";
+import { seeded } from "../src/core/random.js";
+import { type LoadedRecords, RecordReader, type StoredRecords } from "../src/core/record-reader.js";
+import type { StateAnswer, StateCall, StateEvent } from "../src/core/types.js";
+import { CacheFeed } from "../src/standby/cache-feed.js";
+import { RecordCache } from "../src/standby/record-cache.js";
+import { WarmStart } from "../src/standby/warm-start.js";
+import { deployment } from "./deployment.js";
+import { StateService } from "./state-service.js";
+
+/** Few keys, so that they are often written, removed and written again. */
+const KEYS = ["m/0", "m/1", "m/10", "p/j-1/0", "p/j-1/1", "p/j-2/0.32", "j/j-1", "j/j-2", "j/j-3", "f/j-1"];
+const TICK_MS = 500;
+
+type Step =
+  | { readonly t: "put"; readonly key: string; readonly value: number }
+  | { readonly t: "remove"; readonly key: string }
+  /** Time passes; the calls under way are answered in this manner. */
+  | { readonly t: "tick"; readonly manner: Manner }
+  | { readonly t: "compact" };
+
+type Manner = "right" | "lost" | "hangs" | "twice" | "shuffled" | "pages of one";
+
+const manner = fc.constantFrom<Manner>(
+  "right",
+  "right",
+  "right",
+  "lost",
+  "hangs",
+  "twice",
+  "shuffled",
+  "pages of one",
+);
+const key = fc.constantFrom(...KEYS);
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ t: fc.constant("put" as const), key, value: fc.nat() }) },
+  { weight: 2, arbitrary: fc.record({ t: fc.constant("remove" as const), key }) },
+  { weight: 6, arbitrary: fc.record({ t: fc.constant("tick" as const), manner }) },
+  { weight: 1, arbitrary: fc.record({ t: fc.constant("compact" as const) }) },
+);
+
+/** A node's calls to a store, answered as the history says. */
+class Play {
+  readonly store = new StateService();
+  readonly ctx = new Context(deployment("n1"), new Directory(), seeded(1), 0);
+  readonly #hanging: { id: number; call: StateCall }[] = [];
+
+  write(change: { put: string; value: unknown } | { remove: string }): void {
+    this.store.run({ t: "txn", conditions: [], changes: [change] }, 0);
+  }
+
+  /** Answers what is under way until nothing more is asked for. */
+  answerAll(how: Manner): void {
+    const calls = this.#hanging.splice(0);
+    for (;;) {
+      for (const effect of this.ctx.takeEffects())
+        if (effect.t === "state") calls.push({ id: effect.id, call: effect.call });
+      const next = calls.shift();
+      if (!next) return;
+      if (how === "hangs") this.#hanging.push(next);
+      else this.#answer(next.id, next.call, how);
+    }
+  }
+
+  #answer(id: number, call: StateCall, how: Manner): void {
+    if (how === "lost") {
+      this.ctx.stateAnswered(id, { t: "silent" });
+      return;
+    }
+    this.store.page = how === "pages of one" ? 1 : 20;
+    const answer = call.t === "follow" ? this.#follow(call) : this.store.run(call, 0);
+    this.ctx.stateAnswered(id, distort(answer, how));
+  }
+
+  #follow({ prefix, after }: Extract<StateCall, { t: "follow" }>): StateAnswer {
+    const found = this.store.since(prefix, after);
+    return found ?? { t: "events", events: [], revision: this.store.revision };
+  }
+}
+
+/** Changes delivered twice or out of order. */
+function distort(answer: StateAnswer, how: Manner): StateAnswer {
+  if (answer.t !== "events") return answer;
+  const events: readonly StateEvent[] = answer.events;
+  if (how === "twice") return { ...answer, events: [...events, ...events] };
+  if (how === "shuffled") return { ...answer, events: [...events].reverse() };
+  return answer;
+}
+
+function readCold(store: StateService): StoredRecords {
+  const play = new Play();
+  for (const [name, item] of store.items) play.store.items.set(name, item);
+  play.store.revision = store.revision;
+  const read: LoadedRecords[] = [];
+  new RecordReader(play.ctx).load((loaded) => read.push(loaded));
+  play.answerAll("right");
+  assert.ok(read[0]);
+  return read[0].records;
+}
+
+test("property: whatever the history and its delivery, a warm start has the records of a cold one, or is refused", () => {
+  let warm = 0;
+  fc.assert(
+    fc.property(
+      fc.array(step, { minLength: 10, maxLength: 120 }),
+      fc.array(key, { maxLength: 5 }),
+      (steps, last) => {
+        const play = new Play();
+        const cache = new RecordCache();
+        const feed = new CacheFeed(play.ctx, cache);
+        for (const next of steps) {
+          if (next.t === "put") play.write({ put: next.key, value: next.value });
+          else if (next.t === "remove") play.write({ remove: next.key });
+          else if (next.t === "compact") play.store.compactedThrough = play.store.revision;
+          else {
+            play.ctx.now += TICK_MS;
+            feed.tick();
+            play.answerAll(next.manner);
+          }
+        }
+        // What the feed has not seen, up to the election.
+        for (const name of last) play.write({ put: name, value: -1 });
+        feed.stop();
+        if (!feed.isComplete) return;
+        const refused: string[] = [];
+        const loaded: LoadedRecords[] = [];
+        const cold = new RecordReader(play.ctx);
+        const events = { confirmed: () => {}, refused: (why: string) => refused.push(why) };
+        new WarmStart(play.ctx, cache, play.store.revision, cold, events).load((records) =>
+          loaded.push(records),
+        );
+        play.answerAll("right");
+        assert.equal(loaded.length, 1);
+        if (refused.length === 0) warm++;
+        assert.deepEqual(loaded[0]?.records, readCold(play.store));
+      },
+    ),
+    { numRuns: 400, seed: 20_261_202 },
+  );
+  assert.ok(warm > 100, `${warm} of 400 histories began warm`);
+});
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -109,16 +109,15 @@
   const { leader, follower, both } = pair();
   both(6000);
   // From here on the follower's watches hang; a third node confirms a cancellation, the leader places another job.
-  const isFollow = (call: StateCall) => call.t === "follow";
-  follower.stateRule = (call) => (isFollow(call) ? "hang" : null);
-  follower.pass(500);
+  const isWatch = (call: StateCall) =>
+    call.t === "follow" && call.waitMs > 0 && RECORDS.includes(call.prefix);
+  follower.stateRule = (call) => (isWatch(call) ? "hang" : null);
   const third = new Bench("n2", leader.state);
   third.now = leader.now;
   third.pass(1000);
   leader.submit(job("j-3", { tasks: 1, estimateS: 600 }));
   leader.pass(500);
   assert.equal(third.cancel("j-1")?.t, "view");
-  follower.stateRule = null;
   takeOver(follower);
   assert.equal(follower.core.takeover.source, "warm");
   const jobs = follower.core.leaderTerm?.tables;
--- a/tools/loopback/worker-fleet.ts
+++ b/tools/loopback/worker-fleet.ts
@@ -195,7 +195,7 @@
     task.timer = setTimeout(() => this.#end(task, "done"), this.#fleet.options.runMs(uid));
     this.tasks.push(task);
     this.#fleet.history.begin(piece, stay);
-    this.#fleet.began(piece);
+    this.#fleet.began(piece, attempt);
     this.#soon();
   }
 
@@ -213,7 +213,7 @@
   readonly history = new History();
   readonly options: FleetOptions;
   /** Told of each start. */
-  began: (piece: string) => void = () => {};
+  began: (piece: string, attempt: number) => void = () => {};
   answeredReports = 0;
   refused = 0;
   leasesLost = 0;
