--- a/src/core/candidates.ts
+++ b/src/core/candidates.ts
@@ -1,7 +1,9 @@
 import { add, fits } from "./amount.js";
 import type { Context } from "./context.js";
+import type { Job } from "./job.js";
+import { type Machine, suitsType } from "./machine.js";
 import { isAged } from "./order.js";
-import { type Job, type Machine, suitsType, type Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 import type { Amount } from "./types.js";
 
 /** Boots take up to half as long again as the catalogue says. */
--- a/src/core/cloud-inventory.ts
+++ b/src/core/cloud-inventory.ts
@@ -1,5 +1,6 @@
 import type { Context } from "./context.js";
-import type { Machine, Tables } from "./tables.js";
+import type { Machine } from "./machine.js";
+import type { Tables } from "./tables.js";
 import type { ListedMachine, MachineType } from "./types.js";
 
 const LIST_MS = 4000;
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,13 +1,16 @@
-import { standsBy, type Warmth } from "../standby/role.js";
+import { standsBy } from "../standby/role.js";
 import { Standby } from "../standby/standby.js";
 import { Takeover } from "../standby/takeover.js";
 import { Administration } from "./administration.js";
 import { type Budget, Context } from "./context.js";
 import { FeatureGate } from "./feature-gate.js";
 import { Intake } from "./intake.js";
+import { leaderStatus } from "./leader-status.js";
 import { LeaderTerm } from "./leader-term.js";
 import { Leadership } from "./leadership.js";
 import { Directory } from "./names.js";
+import { PeerTable } from "./peer-table.js";
+import { ProgressCounts } from "./progress-counts.js";
 import { seeded } from "./random.js";
 import type { RecordSource } from "./record-reader.js";
 import { KEYS, PROTOCOL } from "./records.js";
@@ -25,28 +28,15 @@
 import { ConfigView } from "./view.js";
 
 const HEARTBEAT_MS = 1000;
-const PEER_FRESH_MS = 3500;
-/** A node that was last heard speaking the older protocol counts as such for so long. */
-const OLD_PEER_MS = 15_000;
 /** A leader that has heard none of at least so many machines for so many report intervals is cut off from them. */
 const CUT_OFF_MACHINES = 3;
 const CUT_OFF_REPORTS = 3;
 const SWEEP_MS = 30_000;
 const UNREADY_AFTER_MS = 2500;
-const PROGRESS_KEPT = 20_000;
 
 /** While a peer could lead from its cache, the others leave it this long to stand first. */
 const DEFER_MS = 600;
 
-interface Peer {
-  heardAt: number;
-  stateOk: boolean;
-  workersHeard: number;
-  up: boolean;
-  /** Undefined for a peer that can't stand by. */
-  standby: Warmth | undefined;
-}
-
 export interface Identity {
   readonly incarnation: string;
   readonly seed: number;
@@ -66,8 +56,8 @@
   readonly gate: FeatureGate;
   readonly #administration: Administration;
   leaderTerm: LeaderTerm | null = null;
-  readonly #peers = new Map<string, Peer>();
-  readonly #progress = new Map<string, { done: number; running: number }>();
+  readonly #peers: PeerTable;
+  readonly #progress = new ProgressCounts();
   readonly #reports: ReportRouter;
   readonly #standby: Standby | null;
   /** The steps of this node's last takeover. */
@@ -78,6 +68,7 @@
 
   constructor(deployment: Deployment, identity: Identity) {
     this.ctx = new Context(deployment, this.directory, seeded(identity.seed), identity.epochMs);
+    this.#peers = new PeerTable(this.ctx);
     this.view = new ConfigView(this.ctx, (key) => {
       this.leadership.configChanged(key);
       if (key === KEYS.modes) this.leaderTerm?.applyModes();
@@ -97,7 +88,7 @@
         this.leaderTerm = null;
         this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
-      alone: () => this.#alone,
+      alone: () => this.#peers.isAlone,
       deferMs: () => this.#deferMs,
       vacant: () => this.takeover.begin(this.ctx.now),
       startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
@@ -108,28 +99,16 @@
       leaderAnswer: (report) => this.#leaderAnswer(report),
       isLeader: () => this.leaderTerm !== null,
       leader: () => this.view.leader?.value.node ?? null,
-      isHeard: (node) => {
-        const peer = this.#peers.get(node);
-        return peer?.up === true && this.#isFresh(peer);
-      },
+      isHeard: (node) => this.#peers.canReceive(node),
     });
     this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.term);
     this.intake = new Intake(this.ctx, this.view, {
       learned: (item, cancelled) => this.#learned(item, cancelled),
-      oldPeerHeard: () => this.#oldPeerHeard,
+      oldPeerHeard: () => !this.gate.isOpen && this.#peers.anyOld((node) => this.gate.isOld(node)),
       counts: (uid) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
     const { standbyBytes = 0 } = identity;
     this.#standby = standbyBytes > 0 ? new Standby(this.ctx, standbyBytes) : null;
-    for (const name of deployment.peers) {
-      this.#peers.set(name, {
-        heardAt: Number.NEGATIVE_INFINITY,
-        stateOk: false,
-        workersHeard: 0,
-        up: false,
-        standby: undefined,
-      });
-    }
   }
 
   /** Can this node take requests? Not while it alone is refused by the state service; in a common outage, yes. */
@@ -138,28 +117,7 @@
     const since = this.ctx.stateFailingSince;
     if (since === null || this.ctx.now - since < UNREADY_AFTER_MS) return true;
     // Without the state service and without peers it is likely this node that is cut off.
-    if (this.#alone) return false;
-    for (const peer of this.#peers.values()) {
-      if (peer.stateOk && this.#isFresh(peer)) return false;
-    }
-    return true;
-  }
-
-  #isFresh(peer: Peer): boolean {
-    return this.ctx.now - peer.heardAt < PEER_FRESH_MS;
-  }
-
-  get #alone(): boolean {
-    const peers = [...this.#peers.values()];
-    return peers.length > 0 && !peers.some((peer) => this.#isFresh(peer));
-  }
-
-  /** True while a node that is yet to be upgraded may lead: it would start jobs that wait for others. */
-  get #oldPeerHeard(): boolean {
-    if (this.gate.isOpen) return false;
-    return [...this.#peers].some(
-      ([node, { heardAt }]) => this.gate.isOld(node) && this.ctx.now - heardAt < OLD_PEER_MS,
-    );
+    return !this.#peers.isAlone && !this.#peers.anyServed;
   }
 
   get leaderName(): string | null {
@@ -187,10 +145,7 @@
     const leader = this.leaderName;
     // While nobody leads the roles stay: the cache is wanted at just that moment.
     if (leader !== null) {
-      const peers = [...this.#peers].map(([node, peer]) => {
-        return { node, isHeard: this.#isFresh(peer), warmth: peer.standby };
-      });
-      this.#standsBy = standsBy(this.ctx.deployment.node, leader, peers);
+      this.#standsBy = standsBy(this.ctx.deployment.node, leader, this.#peers.standbys());
     }
     this.#standby.tick(this.#standsBy);
   }
@@ -211,9 +166,9 @@
   get #deferMs(): number {
     if (!this.#standby || this.#standby.warmth === "warm") return 0;
     const leader = this.leaderName;
-    const isOtherWarm = [...this.#peers].some(
-      ([node, peer]) => node !== leader && peer.standby === "warm" && this.#isFresh(peer),
-    );
+    const isOtherWarm = this.#peers
+      .standbys()
+      .some(({ node, isHeard, warmth }) => node !== leader && isHeard && warmth === "warm");
     return isOtherWarm ? DEFER_MS : 0;
   }
 
@@ -281,11 +236,9 @@
         this.ctx.emit({ t: "peerReportAnswer", to: command.from, id: command.id, answer });
         break;
       }
-      case "peerLink": {
-        const peer = this.#peers.get(command.node);
-        if (peer) peer.up = command.up;
+      case "peerLink":
+        this.#peers.link(command.node, command.up);
         break;
-      }
       default:
         command satisfies never;
     }
@@ -335,8 +288,8 @@
       return;
     }
     if (heard.some((m) => now - m.heardAt < quietMs)) return;
-    const others = [...this.#peers.values()].some((p) => this.#isFresh(p) && p.workersHeard > 0);
-    if (others || this.#alone) this.leadership.handOver("no worker is heard here");
+    if (this.#peers.anyHearsWorkers || this.#peers.isAlone)
+      this.leadership.handOver("no worker is heard here");
   }
 
   #sendHeartbeat(): void {
@@ -350,18 +303,14 @@
       protocol: PROTOCOL,
       standby: this.#standby?.warmth,
     };
-    for (const to of this.#peers.keys()) this.ctx.emit({ t: "peerSend", to, message });
+    for (const to of this.ctx.deployment.peers) this.ctx.emit({ t: "peerSend", to, message });
   }
 
   #peerSaid(from: string, message: PeerMessage): void {
-    const peer = this.#peers.get(from);
-    if (!peer) return;
+    if (!this.#peers.has(from)) return;
     switch (message.t) {
       case "beat":
-        peer.heardAt = this.ctx.now;
-        peer.stateOk = message.stateOk;
-        peer.workersHeard = message.workersHeard;
-        peer.standby = message.standby;
+        this.#peers.heard(from, message);
         this.gate.peerSpeaks(from, message.protocol);
         this.leadership.sawToken(message.token);
         this.leadership.peerShows(from, message.token);
@@ -370,15 +319,7 @@
         this.leaderTerm?.learnJob(message.item);
         break;
       case "progress":
-        for (const [uid, done, running] of message.rows) {
-          this.#progress.delete(uid);
-          this.#progress.set(uid, { done, running });
-        }
-        while (this.#progress.size > PROGRESS_KEPT) {
-          const oldest = this.#progress.keys().next();
-          if (oldest.done) break;
-          this.#progress.delete(oldest.value);
-        }
+        this.#progress.note(message.rows);
         break;
       case "reports":
       case "reportAnswers":
@@ -395,7 +336,7 @@
     }
     const leader = this.leaderName;
     // A cancellation goes to every peer: one of them may lead, or still answer workers, without this node's knowing.
-    for (const to of this.#peers.keys()) {
+    for (const to of this.ctx.deployment.peers) {
       if (to === leader || cancelled) this.ctx.emit({ t: "peerSend", to, message: { t: "job", item } });
     }
   }
@@ -417,43 +358,12 @@
       leader: this.leaderName,
       ready: this.ready,
       leading: leaderTerm !== null,
-      peers: Object.fromEntries(
-        [...this.#peers].map(([name, peer]) => [name, { link: peer.up, state_ok: peer.stateOk }]),
-      ),
+      peers: this.#peers.report(),
     };
     const standby = this.#standby ? { standby: this.#standby.report(this.view.revision) } : {};
     const status = { ...base, ...standby, takeover: this.takeover.report() };
-    return leaderTerm ? { ...status, ...this.#leaderStatus(leaderTerm) } : status;
-  }
-
-  #leaderStatus(leaderTerm: LeaderTerm): Record<string, unknown> {
-    const { tables } = leaderTerm;
-    return {
-      token: leaderTerm.term.token,
-      confirmed: this.leadership.confirmed,
-      machines: [...tables.machines.values()].map((machine) => ({
-        name: machine.name,
-        type: machine.typeName,
-        zone: machine.zone,
-        spot: machine.spot,
-        phase: machine.lost ? "lost" : machine.phase,
-        mode: machine.mode,
-        tasks: machine.placements.size,
-        share: Math.round(machine.share() * 1000) / 1000,
-      })),
-      jobs: tables.jobs.size,
-      queue: [...tables.jobs.values()]
-        .filter((job) => job.pending > 0)
-        .map((job) => ({ job: job.uid, tasks: job.pending, why: job.waitsFor ?? "it is next" })),
-      awaiting: [...tables.jobs.values()]
-        .filter((job) => job.state === "active" && !job.released)
-        .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: leaderTerm.pipelines.waitsFor(job) })),
-      layout: this.view.layout,
-      move: leaderTerm.rebalancer.pending,
-      moves: leaderTerm.rebalancer.moves,
-      rounds_cut: leaderTerm.scheduler.roundsCut,
-      unwritten: leaderTerm.recorder.backlog,
-    };
+    const { confirmed } = this.leadership;
+    return leaderTerm ? { ...status, ...leaderStatus(leaderTerm, confirmed, this.view.layout) } : status;
   }
 }
 
--- a/src/core/failed-fits.ts
+++ b/src/core/failed-fits.ts
@@ -1,6 +1,6 @@
 import { fits } from "./amount.js";
 import type { Context } from "./context.js";
-import type { Job } from "./tables.js";
+import type { Job } from "./job.js";
 import type { Amount } from "./types.js";
 
 /** Demands that found no place in this call: what asks for as much or more need not look again. */
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,11 +1,14 @@
 import { add, ZERO } from "./amount.js";
+import { tokenOf } from "./attempts.js";
 import { Contact } from "./contact.js";
 import type { Context } from "./context.js";
 import { Fencing } from "./fencing.js";
 import { noteFetch, noteImage } from "./image-caches.js";
 import { DRIFT, type Leadership, type Term } from "./leadership.js";
+import type { Machine } from "./machine.js";
+import type { Placement } from "./placement.js";
 import type { Recorder } from "./recorder.js";
-import { type Machine, type Placement, type Tables, tokenOf } from "./tables.js";
+import type { Tables } from "./tables.js";
 import type { Cause, Order, Report, ReportAnswer, ReportedTask } from "./types.js";
 import { WorkerOrders } from "./worker-orders.js";
 
--- a/src/core/gpu-reserve.ts
+++ b/src/core/gpu-reserve.ts
@@ -1,8 +1,10 @@
 import { times } from "./amount.js";
 import type { Context } from "./context.js";
+import type { Job } from "./job.js";
+import { type Machine, suitsType } from "./machine.js";
 import { hasAim } from "./order.js";
 import type { Scheduler } from "./scheduler.js";
-import { type Job, type Machine, suitsType, type Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 import type { Amount, MachineType } from "./types.js";
 
 interface Kind {
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -1,8 +1,8 @@
 import { times } from "./amount.js";
 import type { Context } from "./context.js";
 import { type Found, JobLookup, viewOfEnd } from "./job-lookup.js";
+import { suitsType } from "./machine.js";
 import { cancelledRecord, fitsRecord, type JobRecord, KEYS, newJobRecord } from "./records.js";
-import { suitsType } from "./tables.js";
 import type { JobSpec, JobView, StateCondition, StateItem, UserAnswer } from "./types.js";
 import type { ConfigView } from "./view.js";
 
--- /dev/null
+++ b/src/core/leader-status.ts
@@ -0,0 +1,36 @@
+import type { LeaderTerm } from "./leader-term.js";
+
+/** What a leader shows its operators, beside what every node shows. */
+export function leaderStatus(
+  leaderTerm: LeaderTerm,
+  confirmed: boolean,
+  layout: number,
+): Record<string, unknown> {
+  const { tables } = leaderTerm;
+  return {
+    token: leaderTerm.term.token,
+    confirmed,
+    machines: [...tables.machines.values()].map((machine) => ({
+      name: machine.name,
+      type: machine.typeName,
+      zone: machine.zone,
+      spot: machine.spot,
+      phase: machine.lost ? "lost" : machine.phase,
+      mode: machine.mode,
+      tasks: machine.placements.size,
+      share: Math.round(machine.share() * 1000) / 1000,
+    })),
+    jobs: tables.jobs.size,
+    queue: [...tables.jobs.values()]
+      .filter((job) => job.pending > 0)
+      .map((job) => ({ job: job.uid, tasks: job.pending, why: job.waitsFor ?? "it is next" })),
+    awaiting: [...tables.jobs.values()]
+      .filter((job) => job.state === "active" && !job.released)
+      .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: leaderTerm.pipelines.waitsFor(job) })),
+    layout,
+    move: leaderTerm.rebalancer.pending,
+    moves: leaderTerm.rebalancer.moves,
+    rounds_cut: leaderTerm.scheduler.roundsCut,
+    unwritten: leaderTerm.recorder.backlog,
+  };
+}
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -1,21 +1,24 @@
 import type { Budget, Context } from "./context.js";
-import { isFaulty, noteFailure } from "./failures.js";
+import { noteFailure } from "./failures.js";
 import type { FeatureGate } from "./feature-gate.js";
 import { Fleet } from "./fleet.js";
+import type { Job } from "./job.js";
 import type { Leadership, Term } from "./leadership.js";
-import { bytesOf } from "./limits.js";
+import { MachineModes } from "./machine-modes.js";
 import { Pipelines } from "./pipelines.js";
+import type { Placement } from "./placement.js";
 import { ProgressReports } from "./progress-reports.js";
 import { Provisioner } from "./provisioner.js";
 import { Rebalancer } from "./rebalancer.js";
 import type { RecordSource, StoredRecords } from "./record-reader.js";
+import { RecordRestore } from "./record-restore.js";
 import { Recorder } from "./recorder.js";
-import { KEYS, readBucket, readFinal, readJob } from "./records.js";
+import { KEYS, readFinal, readJob } from "./records.js";
 import { Scheduler } from "./scheduler.js";
 import { StateFeed } from "./state-feed.js";
-import { readChunks, type StoredChunk } from "./stored-chunks.js";
-import { type Job, type Machine, type Placement, Tables } from "./tables.js";
+import { Tables } from "./tables.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
+import { TypesRecord } from "./types-record.js";
 import type { ConfigView } from "./view.js";
 
 const LIST_MS = 3000;
@@ -38,13 +41,14 @@
   over = false;
   readonly #feed: StateFeed;
   readonly #progress: ProgressReports;
+  readonly #typesRecord: TypesRecord;
+  readonly #modes: MachineModes;
   readonly #ctx: Context;
   readonly #view: ConfigView;
   readonly #leadership: Leadership;
   #dirty = true;
   #roundAt = 0;
   #surveyAt = Number.NEGATIVE_INFINITY;
-  #writingTypes = false;
 
   constructor(
     ctx: Context,
@@ -92,6 +96,8 @@
     );
     this.rebalancer = new Rebalancer(ctx, this.tables, this.fleet, this.recorder, this.scheduler);
     this.#progress = new ProgressReports(ctx, this.tables);
+    this.#modes = new MachineModes(ctx, view, this.tables, this.fleet, this.scheduler);
+    this.#typesRecord = new TypesRecord(ctx, view, term);
     this.#feed = new StateFeed(ctx, leadership, (item) => this.learnJob(item));
     this.#feed.load(chooseSource, (records) => this.#rebuild(records));
   }
@@ -112,23 +118,10 @@
 
   #rebuild({ machines, chunks, jobs }: StoredRecords): void {
     const { now } = this.#ctx;
-    for (const item of machines) {
-      const record = readBucket(item.value);
-      const bucket = Number(item.key.slice(KEYS.machines.length));
-      if (!record || !Number.isInteger(bucket)) {
-        this.#ctx.log("error", "a record can't be read", { key: item.key });
-        continue;
-      }
-      const listed: Machine[] = [];
-      for (const [name, address, type, zone, spot] of record.machines) {
-        const machine = this.tables.machine(name, { address, type, zone, spot }, now);
-        if (machine.phase === "booting") machine.phase = "up";
-        listed.push(machine);
-      }
-      this.recorder.machines.inherit(bucket, listed, item.version);
-    }
+    const restore = new RecordRestore(this.#ctx, this.tables, this.recorder, this.pipelines);
+    for (const item of machines) restore.machines(item);
     for (const item of jobs) this.learnJob(item);
-    const held = this.#rebuildPlacements(chunks);
+    const held = restore.placements(chunks);
     // When work that has begun last ran is not on record: its wait counts anew, else a new leader takes all that is
     // waiting for its next tasks for aged.
     for (const job of this.tables.jobs.values()) if (job.doneCount > 0) job.lastHeldAt = now;
@@ -158,63 +151,6 @@
     });
   }
 
-  /** Puts what is on record as placed into the tables; returns how much that is. */
-  #rebuildPlacements(chunks: readonly StateItem[]): number {
-    const { found, unreadable } = readChunks(chunks);
-    for (const { key, uid } of unreadable) {
-      this.#ctx.log("error", "a record can't be read", { key });
-      const job = this.tables.jobByUid(uid);
-      // What can't be read may be running: it is kept, and nothing of the job is started.
-      if (job) job.unreadable = true;
-    }
-    let held = 0;
-    for (const [uid, records] of found) {
-      const job = this.tables.jobByUid(uid);
-      // The job's final state was written while none of its tasks was left.
-      if (!job) for (const { key } of records) this.recorder.discard(key);
-      else held += this.#restore(job, records);
-    }
-    return held;
-  }
-
-  #restore(job: Job, records: readonly StoredChunk[]): number {
-    let held = 0;
-    for (const { key, version, count, done, placed } of records) {
-      job.chunkVersions.set(key, version);
-      job.chunkTasks = Math.min(job.chunkTasks, count);
-      for (const task of done) job.markDone(task);
-      for (const { task, machine: name, session, attempt } of placed) {
-        if (job.isDone(task) && job.spec.shape !== "gang") continue;
-        this.#restorePlacement(job, task, name, session, attempt);
-        held++;
-      }
-    }
-    if (held > 0 || job.doneCount > 0) this.pipelines.begun(job);
-    return held;
-  }
-
-  #restorePlacement(job: Job, task: number, name: string, session: number, attempt: number): void {
-    const { now } = this.#ctx;
-    const machine = this.tables.machine(name, { address: "", type: "", zone: "", spot: false }, now);
-    if (machine.phase === "booting") machine.phase = "up";
-    this.tables.place({
-      job,
-      task,
-      machine,
-      session,
-      attempt,
-      priority: job.priority,
-      durable: true,
-      allowedAt: Number.NEGATIVE_INFINITY,
-      placedAt: now,
-      seen: null,
-      sentToken: 0,
-      sentAt: Number.NEGATIVE_INFINITY,
-      runningSince: null,
-      stop: null,
-    });
-  }
-
   /* ---- jobs ---- */
 
   /** Takes in a job's key, from the first read, from following, or straight from the node that wrote it. */
@@ -386,7 +322,7 @@
     if (now - this.#surveyAt >= SURVEY_MS) {
       this.#surveyAt = now;
       this.fleet.tick();
-      this.#drainNoticed();
+      this.#modes.drain();
       if (this.over) return;
       this.provisioner.tick(this.#leadership.confirmed);
       if (this.#leadership.confirmed) this.rebalancer.tick();
@@ -411,56 +347,15 @@
     this.#dirty = !this.scheduler.round(budget);
   }
 
-  /** Machines about to be taken back or drained: what can save is stopped in time to do so. */
-  #drainNoticed(): void {
-    const { now } = this.#ctx;
-    for (const machine of this.tables.machines.values()) {
-      if (machine.phase !== "up" || machine.lost) continue;
-      if (machine.noticeUntil === null && machine.mode !== "drain") continue;
-      for (const placement of [...machine.placements]) {
-        const { spec } = placement.job;
-        if (placement.stop || spec.shape === "service") continue;
-        if (spec.checkpointS > 0) this.scheduler.preemption.stopOrderly(placement, "its machine is going");
-      }
-      if (machine.noticeUntil !== null || machine.mode === "drain") {
-        for (const placement of [...machine.placements]) {
-          if (placement.stop || placement.job.spec.shape !== "service") continue;
-          if (now - placement.sentAt > 30_000) this.fleet.stop(placement, 0, "its machine is going");
-        }
-      }
-    }
-  }
-
   #typesRead(types: readonly MachineType[]): void {
     this.tables.setTypes(types);
     this.#dirty = true;
-    // Prices move all the time; what the other nodes need is what fits where.
-    const essence = (list: readonly MachineType[]) =>
-      JSON.stringify(list.map(({ name, size, zones }) => [name, size, zones]));
-    if (this.#writingTypes || essence(types) === essence(this.#view.types)) return;
-    if (bytesOf(types) > this.#ctx.limits.valueBytes) {
-      this.#ctx.log("error", "the machine types are too many for one record", { types: types.length });
-      return;
-    }
-    this.#writingTypes = true;
-    const conditions = [
-      { key: KEYS.leader, version: this.term.version },
-      { key: KEYS.types, version: this.#view.typesVersion },
-    ];
-    const changes = [{ put: KEYS.types, value: types }];
-    this.#ctx.state({ t: "txn", conditions, changes }, LIST_MS, (answer) => {
-      this.#writingTypes = false;
-      if (answer.t === "ok") this.#view.note({ key: KEYS.types, value: types, version: answer.revision });
-    });
+    this.#typesRecord.write(types);
   }
 
   /** Takes over what the operators have set machines to; those set aside for errors stay so. */
   applyModes(): void {
-    for (const machine of this.tables.machines.values()) {
-      const mode = this.#view.modes[machine.name];
-      if (mode) machine.mode = mode;
-      else if (!isFaulty(machine)) machine.mode = "open";
-    }
+    this.#modes.apply();
     this.#dirty = true;
   }
 
--- /dev/null
+++ b/src/core/machine-modes.ts
@@ -0,0 +1,52 @@
+import type { Context } from "./context.js";
+import { isFaulty } from "./failures.js";
+import type { Fleet } from "./fleet.js";
+import type { Scheduler } from "./scheduler.js";
+import type { Tables } from "./tables.js";
+import type { ConfigView } from "./view.js";
+
+/** Carries out what operators, failures and notices have set machines to. */
+export class MachineModes {
+  readonly #ctx: Context;
+  readonly #view: ConfigView;
+  readonly #tables: Tables;
+  readonly #fleet: Fleet;
+  readonly #scheduler: Scheduler;
+
+  constructor(ctx: Context, view: ConfigView, tables: Tables, fleet: Fleet, scheduler: Scheduler) {
+    this.#ctx = ctx;
+    this.#view = view;
+    this.#tables = tables;
+    this.#fleet = fleet;
+    this.#scheduler = scheduler;
+  }
+
+  /** Takes over what the operators have set machines to; those set aside for errors stay so. */
+  apply(): void {
+    for (const machine of this.#tables.machines.values()) {
+      const mode = this.#view.modes[machine.name];
+      if (mode) machine.mode = mode;
+      else if (!isFaulty(machine)) machine.mode = "open";
+    }
+  }
+
+  /** Machines about to be taken back or drained: what can save is stopped in time to do so. */
+  drain(): void {
+    const { now } = this.#ctx;
+    for (const machine of this.#tables.machines.values()) {
+      if (machine.phase !== "up" || machine.lost) continue;
+      if (machine.noticeUntil === null && machine.mode !== "drain") continue;
+      for (const placement of [...machine.placements]) {
+        const { spec } = placement.job;
+        if (placement.stop || spec.shape === "service") continue;
+        if (spec.checkpointS > 0) this.#scheduler.preemption.stopOrderly(placement, "its machine is going");
+      }
+      if (machine.noticeUntil !== null || machine.mode === "drain") {
+        for (const placement of [...machine.placements]) {
+          if (placement.stop || placement.job.spec.shape !== "service") continue;
+          if (now - placement.sentAt > 30_000) this.#fleet.stop(placement, 0, "its machine is going");
+        }
+      }
+    }
+  }
+}
--- a/src/core/machine-records.ts
+++ b/src/core/machine-records.ts
@@ -1,6 +1,7 @@
 import { bytesOf } from "./limits.js";
+import type { Machine } from "./machine.js";
 import { BUCKET_MACHINES, type BucketRecord } from "./records.js";
-import type { Machine, Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 
 /** The machines that share a record. */
 export interface Bucket {
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -1,5 +1,5 @@
 import type { Context } from "./context.js";
-import type { Job } from "./tables.js";
+import type { Job } from "./job.js";
 import type { Priority } from "./types.js";
 
 /** The part of an aim's time after which a job that has missed an earlier one is hurried again. */
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,8 +1,11 @@
 import { fits, times } from "./amount.js";
 import type { Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
+import type { Job } from "./job.js";
+import type { Machine } from "./machine.js";
 import { stoppingPriority } from "./order.js";
-import type { Job, Machine, Placement, Tables } from "./tables.js";
+import type { Placement } from "./placement.js";
+import type { Tables } from "./tables.js";
 import type { Amount } from "./types.js";
 
 const RESERVE_MS = 15_000;
--- a/src/core/progress-reports.ts
+++ b/src/core/progress-reports.ts
@@ -1,5 +1,6 @@
 import type { Context } from "./context.js";
-import type { Job, Tables } from "./tables.js";
+import type { Job } from "./job.js";
+import type { Tables } from "./tables.js";
 
 const INTERVAL_MS = 1000;
 
--- a/src/core/rebalancer.ts
+++ b/src/core/rebalancer.ts
@@ -1,11 +1,14 @@
 import { add, fits, ZERO } from "./amount.js";
 import type { Context } from "./context.js";
 import type { Fleet } from "./fleet.js";
+import type { Job } from "./job.js";
+import type { Machine } from "./machine.js";
+import type { Placement } from "./placement.js";
 import { weighted } from "./random.js";
 import type { Recorder } from "./recorder.js";
 import { type MoveRecord, readMove } from "./records.js";
 import type { Scheduler } from "./scheduler.js";
-import type { Job, Machine, Placement, Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 import type { StateItem } from "./types.js";
 
 type Phase = "recording" | "draining" | "stopping" | "starting";
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,6 +1,8 @@
 import type { Context } from "./context.js";
+import type { Job } from "./job.js";
 import type { Term } from "./leadership.js";
 import { type Bucket, MachineRecords } from "./machine-records.js";
+import type { Placement } from "./placement.js";
 import {
   type ChunkRecord,
   chunkTasks,
@@ -11,7 +13,7 @@
   type TaskRange,
   toRanges,
 } from "./records.js";
-import type { Job, Placement, Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 import type { StateChange, StateCondition } from "./types.js";
 
 const CALL_MS = 1500;
--- a/src/core/reservations.ts
+++ b/src/core/reservations.ts
@@ -1,7 +1,9 @@
 import { add, ZERO } from "./amount.js";
 import type { Context } from "./context.js";
+import type { Job } from "./job.js";
+import type { Machine } from "./machine.js";
 import { isTooLate } from "./order.js";
-import type { Job, Machine, Reservation } from "./tables.js";
+import type { Reservation } from "./placement.js";
 import type { Amount } from "./types.js";
 
 /** Renewed in each round for as long as the gang waits. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,15 +1,19 @@
 import { add, times, ZERO } from "./amount.js";
+import { attemptOf, countersLeft } from "./attempts.js";
 import { Candidates } from "./candidates.js";
 import type { Budget, Context } from "./context.js";
 import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
 import { noteFetch } from "./image-caches.js";
+import type { Job } from "./job.js";
 import type { Term } from "./leadership.js";
+import type { Machine } from "./machine.js";
 import { inOrder, isAged, isPatient, isPressed, mayStopLesser, waitAimS } from "./order.js";
+import type { Placement } from "./placement.js";
 import { Preemption } from "./preemption.js";
 import type { Recorder } from "./recorder.js";
 import { Reservations } from "./reservations.js";
-import { attemptOf, countersLeft, type Job, type Machine, type Placement, type Tables } from "./tables.js";
+import type { Tables } from "./tables.js";
 
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { tokenOf } from "../src/core/attempts.js";
 import { Estimates } from "../src/core/estimates.js";
 import { isAged } from "../src/core/order.js";
-import { tokenOf } from "../src/core/tables.js";
 import { Bench, job, type Said } from "./bench.js";
 
 const GPU = { type: "gpu" } as const;
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { tokenOf } from "../src/core/tables.js";
+import { tokenOf } from "../src/core/attempts.js";
 import type { StateCall } from "../src/core/types.js";
 import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FailedFits } from "../src/core/failed-fits.js";
-import { Job } from "../src/core/tables.js";
+import { Job } from "../src/core/job.js";
 import { Bench, job, type Said } from "./bench.js";
 import { StateService } from "./state-service.js";
 
