--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,6 +1,5 @@
-import { standsBy } from "../standby/role.js";
-import { Standby } from "../standby/standby.js";
-import { Takeover } from "../standby/takeover.js";
+import { Succession } from "../standby/succession.js";
+import type { Takeover } from "../standby/takeover.js";
 import { Administration } from "./administration.js";
 import { type Budget, Context } from "./context.js";
 import { FeatureGate } from "./feature-gate.js";
@@ -12,19 +11,9 @@
 import { PeerTable } from "./peer-table.js";
 import { ProgressCounts } from "./progress-counts.js";
 import { seeded } from "./random.js";
-import type { RecordSource } from "./record-reader.js";
 import { KEYS, PROTOCOL } from "./records.js";
 import { ReportRouter } from "./report-router.js";
-import type {
-  Command,
-  Deployment,
-  Effect,
-  Order,
-  PeerMessage,
-  Report,
-  ReportAnswer,
-  StateItem,
-} from "./types.js";
+import type { Command, Deployment, Effect, PeerMessage, Report, ReportAnswer, StateItem } from "./types.js";
 import { ConfigView } from "./view.js";
 
 const HEARTBEAT_MS = 1000;
@@ -34,9 +23,6 @@
 const SWEEP_MS = 30_000;
 const UNREADY_AFTER_MS = 2500;
 
-/** While a peer could lead from its cache, the others leave it this long to stand first. */
-const DEFER_MS = 600;
-
 export interface Identity {
   readonly incarnation: string;
   readonly seed: number;
@@ -59,16 +45,14 @@
   readonly #peers: PeerTable;
   readonly #progress = new ProgressCounts();
   readonly #reports: ReportRouter;
-  readonly #standby: Standby | null;
-  /** The steps of this node's last takeover. */
-  readonly takeover = new Takeover();
-  #standsBy = false;
+  readonly #succession: Succession;
   #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
 
   constructor(deployment: Deployment, identity: Identity) {
     this.ctx = new Context(deployment, this.directory, seeded(identity.seed), identity.epochMs);
     this.#peers = new PeerTable(this.ctx);
+    this.#succession = new Succession(this.ctx, this.#peers, identity.standbyBytes ?? 0);
     this.view = new ConfigView(this.ctx, (key) => {
       this.leadership.configChanged(key);
       if (key === KEYS.modes) this.leaderTerm?.applyModes();
@@ -76,9 +60,9 @@
     this.leadership = new Leadership(this.ctx, this.view, identity.incarnation, {
       elected: (term) => {
         this.ctx.log("info", "elected", { token: term.token });
-        this.takeover.note("elected", this.ctx.now);
+        this.#succession.elected();
         this.leaderTerm = new LeaderTerm(this.ctx, this.view, this.leadership, term, this.gate, (cold) =>
-          this.#recordSource(term.version, cold),
+          this.#succession.source(term.version, cold),
         );
         this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
@@ -89,8 +73,8 @@
         this.#heartbeatAt = Number.NEGATIVE_INFINITY;
       },
       alone: () => this.#peers.isAlone,
-      deferMs: () => this.#deferMs,
-      vacant: () => this.takeover.begin(this.ctx.now),
+      deferMs: () => this.#succession.deferMs(this.leaderName),
+      vacant: () => this.#succession.vacant(),
       startsUnderWay: () => this.leaderTerm?.fleet.startsUnderWay() ?? false,
       knownThrough: () => this.leaderTerm?.knownThrough ?? null,
     });
@@ -107,8 +91,6 @@
       oldPeerHeard: () => !this.gate.isOpen && this.#peers.anyOld((node) => this.gate.isOld(node)),
       counts: (uid) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
     });
-    const { standbyBytes = 0 } = identity;
-    this.#standby = standbyBytes > 0 ? new Standby(this.ctx, standbyBytes) : null;
   }
 
   /** Can this node take requests? Not while it alone is refused by the state service; in a common outage, yes. */
@@ -120,6 +102,11 @@
     return !this.#peers.isAlone && !this.#peers.anyServed;
   }
 
+  /** The steps of this node's last takeover. */
+  get takeover(): Takeover {
+    return this.#succession.takeover;
+  }
+
   get leaderName(): string | null {
     if (this.leaderTerm) return this.ctx.deployment.node;
     return this.view.leader?.value.node ?? null;
@@ -134,55 +121,10 @@
       this.leaderTerm?.settle(budget);
     });
     const effects = this.ctx.takeEffects();
-    if (this.leaderTerm && !this.takeover.isOver) this.#noteTakeover(this.leaderTerm, effects);
+    if (this.leaderTerm) this.#succession.noteEffects(effects, this.leaderTerm.fleet.loaded);
     return effects;
   }
 
-  /* ---- the standby ---- */
-
-  #standBy(): void {
-    if (!this.#standby) return;
-    const leader = this.leaderName;
-    // While nobody leads the roles stay: the cache is wanted at just that moment.
-    if (leader !== null) {
-      this.#standsBy = standsBy(this.ctx.deployment.node, leader, this.#peers.standbys());
-    }
-    this.#standby.tick(this.#standsBy);
-  }
-
-  #recordSource(revision: number, cold: RecordSource): RecordSource {
-    const chosen = (source: "warm" | "cold", why: string | null) => {
-      this.takeover.source = source;
-      this.takeover.why = why;
-      this.takeover.note("confirmed", this.ctx.now);
-    };
-    this.#standsBy = false;
-    if (this.#standby) return this.#standby.source(revision, cold, { chosen });
-    chosen("cold", "the standby is not switched on");
-    return cold;
-  }
-
-  /** A node that could lead from its cache stands at once; the others leave it a moment. */
-  get #deferMs(): number {
-    if (!this.#standby || this.#standby.warmth === "warm") return 0;
-    const leader = this.leaderName;
-    const isOtherWarm = this.#peers
-      .standbys()
-      .some(({ node, isHeard, warmth }) => node !== leader && isHeard && warmth === "warm");
-    return isOtherWarm ? DEFER_MS : 0;
-  }
-
-  #noteTakeover(leaderTerm: LeaderTerm, effects: readonly Effect[]): void {
-    const { now } = this.ctx;
-    if (leaderTerm.fleet.loaded) this.takeover.note("ready", now);
-    for (const effect of effects) {
-      const orders = ordersOf(effect);
-      if (orders === null) continue;
-      if (effect.t !== "do") this.takeover.note("firstAnswer", now);
-      if (orders.some(({ op }) => op === "start")) this.takeover.note("firstStart", now);
-    }
-  }
-
   /**
    * A fault must not end the process, nor end it again and again, nor cost more than the command it is in: answers
    * that wait in the same batch are owed to somebody. What was decided before it stands; the tables it may have
@@ -253,7 +195,7 @@
     this.intake.comparePolls();
     this.leadership.tick();
     this.leaderTerm?.tick(budget);
-    this.#standBy();
+    this.#succession.tick(this.leaderName);
     const { now } = this.ctx;
     if (this.leaderTerm && !this.gate.isOpen) this.gate.tick();
     if (now - this.#heartbeatAt >= HEARTBEAT_MS) {
@@ -301,7 +243,7 @@
       stateOk: this.ctx.stateFailingSince === null && this.view.loaded,
       workersHeard: this.#reports.workersHeard(),
       protocol: PROTOCOL,
-      standby: this.#standby?.warmth,
+      standby: this.#succession.warmth,
     };
     for (const to of this.ctx.deployment.peers) this.ctx.emit({ t: "peerSend", to, message });
   }
@@ -360,16 +302,8 @@
       leading: leaderTerm !== null,
       peers: this.#peers.report(),
     };
-    const standby = this.#standby ? { standby: this.#standby.report(this.view.revision) } : {};
-    const status = { ...base, ...standby, takeover: this.takeover.report() };
+    const status = { ...base, ...this.#succession.report(this.view.revision) };
     const { confirmed } = this.leadership;
     return leaderTerm ? { ...status, ...leaderStatus(leaderTerm, confirmed, this.view.layout) } : status;
   }
 }
-
-/** What an effect tells a worker; null if it is for none. */
-function ordersOf(effect: Effect): readonly Order[] | null {
-  if (effect.t === "do") return effect.orders;
-  if (effect.t !== "reportAnswer" && effect.t !== "peerReportAnswer") return null;
-  return effect.answer.t === "orders" ? effect.answer.orders : null;
-}
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,10 +1,11 @@
 import { add, ZERO } from "./amount.js";
+import { DRIFT } from "./answer-window.js";
 import { tokenOf } from "./attempts.js";
 import { Contact } from "./contact.js";
 import type { Context } from "./context.js";
 import { Fencing } from "./fencing.js";
 import { noteFetch, noteImage } from "./image-caches.js";
-import { DRIFT, type Leadership, type Term } from "./leadership.js";
+import type { Leadership, Term } from "./leadership.js";
 import type { Machine } from "./machine.js";
 import type { Placement } from "./placement.js";
 import type { Recorder } from "./recorder.js";
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -1,21 +1,14 @@
+import { AnswerWindow, DRIFT } from "./answer-window.js";
 import type { Context } from "./context.js";
 import { int } from "./random.js";
 import { KEYS, type LeaderRecord } from "./records.js";
 import type { ConfigView } from "./view.js";
 
-/** Clocks may differ by 0.05%; whatever is waited out is stretched by twice that. */
-export const DRIFT = 1.001;
 const MARGIN_MS = 250;
 const CALL_MS = 900;
 const STAY_OUT_MS = 20_000;
 /** Nodes stand one after the other within so long, by chance. */
 const STAND_SPREAD_MS = 150;
-const ALONE_HOLD_GRANTS = 2;
-/** The longest that a follow of the job keys waits for a change. */
-const FOLLOW_MS = 2000;
-const LEAST_IGNORANCE_MS = 2000;
-/** What a worker may take to end its tasks when its lease is over, and a user's answer to arrive early. */
-const CANCEL_MARGIN_MS = 2500;
 
 export type LeadershipState =
   | { readonly t: "follower" }
@@ -60,6 +53,7 @@
   readonly #view: ConfigView;
   readonly #events: LeadershipEvents;
   readonly #incarnation: string;
+  readonly #window: AnswerWindow;
   state: LeadershipState = { t: "follower" };
   #runAt = 0;
   #renewing = false;
@@ -77,6 +71,7 @@
     this.#ctx = ctx;
     this.#view = view;
     this.#incarnation = incarnation;
+    this.#window = new AnswerWindow(ctx, events);
     this.#events = events;
   }
 
@@ -89,61 +84,28 @@
     return term !== null && this.#ctx.now < term.confirmedUntil;
   }
 
-  /**
-   * How long an unconfirmed leader goes on answering reports. Bounded so that a cut-off leader and the
-   * leases it renewed are over before a cancelled task must be gone.
-   */
-  holdMs(): number {
-    const { cancelS, leaseS } = this.#ctx.deployment;
-    const { hold_s, leader_grant_ms } = this.#ctx.settings;
-    const bound = cancelS - leaseS * DRIFT - leader_grant_ms / 1000 - 3;
-    return Math.max(0, Math.min(hold_s, bound)) * 1000;
+  /** How long an unconfirmed leader goes on answering reports. */
+  get holdMs(): number {
+    return this.#window.holdMs;
   }
 
-  /**
-   * The hold as things are. A leader that has lost the state service and its peers together is likely the one that is
-   * cut off: it lets its workers go soon, to the leader that the others have by then.
-   */
-  holdNowMs(): number {
-    const { leader_grant_ms } = this.#ctx.settings;
-    return this.#events.alone()
-      ? Math.min(this.holdMs(), ALONE_HOLD_GRANTS * leader_grant_ms)
-      : this.holdMs();
+  /** How long a follow of the job keys may wait. */
+  get followMs(): number {
+    return this.#window.followMs;
   }
 
   /** Every cancellation confirmed before this time is applied here. */
   get knownThrough(): number {
-    return this.#events.knownThrough() ?? Number.NEGATIVE_INFINITY;
-  }
-
-  /**
-   * Until when a cancellation that this leader can't know of may not yet be due: a report answered before then renews a
-   * lease that is over in time. It is knowledge that counts, not the grant: renewals may succeed while the follow hangs.
-   */
-  get #ignorantUntil(): number {
-    return this.knownThrough + this.#ignoranceMs;
-  }
-
-  /** What a cancellation's time leaves beside a lease; where that is next to nothing, no leader could answer anybody. */
-  get #ignoranceMs(): number {
-    const { cancelS, leaseS } = this.#ctx.deployment;
-    const left = ((cancelS - leaseS * DRIFT) * 1000 - CANCEL_MARGIN_MS) / DRIFT;
-    return Math.max(LEAST_IGNORANCE_MS, left);
-  }
-
-  /**
-   * How long a follow may wait: its answer proves knowledge as of when it was asked for, and what is known stays that old
-   * until the next one's. With a fixed wait leaders handed over all the time where a cancellation's time is short.
-   */
-  get followMs(): number {
-    return Math.min(FOLLOW_MS, this.#ignoranceMs / 4);
+    return this.#window.knownThrough;
   }
 
   /** May reports be answered, and so leases renewed? Before the records are read, nothing is known of cancellations. */
   get mayAnswer(): boolean {
     const { term } = this;
     const { now } = this.#ctx;
-    return term !== null && now < term.confirmedUntil + this.holdNowMs() && now < this.#ignorantUntil;
+    return (
+      term !== null && now < term.confirmedUntil + this.#window.holdNowMs && now < this.#window.ignorantUntil
+    );
   }
 
   /** A higher token seen anywhere ends this term. */
@@ -173,7 +135,7 @@
   #formerUntil(token: number): number {
     if (token === 1) return this.#ctx.now;
     if (this.#own && token === this.#own.token + 1) return this.#own.until;
-    const holdMs = this.holdMs() + this.#ctx.settings.leader_grant_ms;
+    const holdMs = this.#window.holdMs + this.#ctx.settings.leader_grant_ms;
     return this.#ctx.now + holdMs * DRIFT;
   }
 
@@ -301,11 +263,11 @@
 
   #lead(term: Term): void {
     const ctx = this.#ctx;
-    if (ctx.now >= term.confirmedUntil + this.holdNowMs()) {
+    if (ctx.now >= term.confirmedUntil + this.#window.holdNowMs) {
       this.stepDown("unconfirmed for too long");
       return;
     }
-    if (this.#events.knownThrough() !== null && ctx.now >= this.#ignorantUntil) {
+    if (this.#events.knownThrough() !== null && ctx.now >= this.#window.ignorantUntil) {
       const why = "cancellations can't be read";
       if (this.confirmed) this.handOver(why);
       else this.stepDown(why);
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,4 +1,5 @@
 import type { Context } from "./context.js";
+import { type DirtyChunk, DirtyChunks } from "./dirty-chunks.js";
 import type { Job } from "./job.js";
 import type { Term } from "./leadership.js";
 import { type Bucket, MachineRecords } from "./machine-records.js";
@@ -10,11 +11,10 @@
   KEYS,
   type MoveRecord,
   NO_MOVE,
-  type TaskRange,
   toRanges,
 } from "./records.js";
 import type { Tables } from "./tables.js";
-import type { StateChange, StateCondition } from "./types.js";
+import { type Batch, emptyBatch, itemsOf, WriteAllowance } from "./write-batch.js";
 
 const CALL_MS = 1500;
 const RETRY_MS = 200;
@@ -27,20 +27,10 @@
 const TXN_BYTES = 48 * 1024;
 /** With fewer changes than this in one transaction, jobs that are over would wait for ever behind starts. */
 const LEAST_ROOM = 6;
-/** The leader's part of the write limit; the rest is left to submissions and cancellations. */
-const SHARE = 0.8;
 
 /** What a record that the state service takes in no form waits before it is tried again, by itself. */
 const SET_ASIDE_MS = 10_000;
 
-interface DirtyChunk {
-  readonly job: Job;
-  readonly key: string;
-  readonly range: TaskRange;
-  since: number;
-  urgent: boolean;
-}
-
 export interface RecorderEvents {
   /** These placements are now on record; they may be started. */
   recorded(placements: readonly Placement[]): void;
@@ -54,22 +44,6 @@
   layout(): number;
 }
 
-interface Batch {
-  readonly conditions: StateCondition[];
-  readonly changes: StateChange[];
-  readonly chunks: DirtyChunk[];
-  readonly placements: Placement[];
-  readonly buckets: Bucket[];
-  readonly finals: Job[];
-  readonly removed: string[];
-  move: { readonly value: MoveRecord | null; readonly then: () => void } | null;
-  bytes: number;
-}
-
-function itemsOf(batch: Batch): number {
-  return batch.chunks.length + batch.finals.length + batch.removed.length + (batch.move ? 1 : 0);
-}
-
 /**
  * Writes the leader's records, one transaction at a time, each conditioned on the leadership and on
  * the versions last seen. An unanswered transaction is simply tried again with the same conditions: if the first
@@ -80,11 +54,7 @@
   readonly #term: Term;
   readonly #tables: Tables;
   readonly #events: RecorderEvents;
-  readonly #chunks = new Map<string, DirtyChunk>();
-  /** Those in the transaction under way: not on record until it is answered. */
-  #writing: readonly DirtyChunk[] = [];
-  /** The size of a chunk, as of the last touch. */
-  #chunkTasks: number;
+  readonly #chunks: DirtyChunks;
   /** So many records are written one by one, after a transaction that was refused for what is in it. */
   #oneByOne = 0;
   /** Keys of records that can't be written, and until when they are left out. */
@@ -96,8 +66,7 @@
   #moveVersion: number;
   #busy = false;
   #retryAt = 0;
-  #allowance: number;
-  #allowanceAt: number;
+  readonly #allowance: WriteAllowance;
   over = false;
 
   constructor(ctx: Context, term: Term, tables: Tables, moveVersion: number, events: RecorderEvents) {
@@ -107,13 +76,8 @@
     this.#tables = tables;
     this.#events = events;
     this.machines = new MachineRecords(tables, () => ctx.limits.valueBytes);
-    this.#chunkTasks = this.#wantedChunkTasks;
-    this.#allowance = ctx.limits.writeRps(ctx.now) * SHARE;
-    this.#allowanceAt = ctx.now;
-  }
-
-  get #wantedChunkTasks(): number {
-    return chunkTasks(this.#events.layout(), this.#ctx.limits.valueBytes);
+    this.#chunks = new DirtyChunks(() => chunkTasks(events.layout(), ctx.limits.valueBytes));
+    this.#allowance = new WriteAllowance(ctx);
   }
 
   get backlog(): number {
@@ -121,48 +85,12 @@
   }
 
   touch(job: Job, task: number, urgent: boolean): void {
-    this.#touchChunk(job, task, urgent, this.#ctx.now);
-  }
-
-  #rangeOf(job: Job, task: number): TaskRange {
-    const count = Math.min(this.#chunkTasks, job.chunkTasks);
-    return { first: task - (task % count), count };
-  }
-
-  #touchChunk(job: Job, task: number, urgent: boolean, since: number): void {
-    const range = this.#rangeOf(job, task);
-    const key = KEYS.chunk(job.uid, range);
-    const dirty = this.#chunks.get(key);
-    if (dirty) dirty.urgent ||= urgent;
-    else this.#chunks.set(key, { job, key, range, since, urgent });
+    this.#chunks.touch(job, task, urgent, this.#ctx.now);
   }
 
   /** True while something about this task is not yet on record. */
   isDirty(job: Job, task: number): boolean {
-    if (this.#chunks.has(KEYS.chunk(job.uid, this.#rangeOf(job, task)))) return true;
-    return this.#writing.some(
-      ({ job: other, range }) => other === job && task >= range.first && task < range.first + range.count,
-    );
-  }
-
-  /** From the opening of layout 2 on, what is yet to be written goes into chunks of its size. */
-  #followLayout(): void {
-    const wanted = this.#wantedChunkTasks;
-    if (wanted === this.#chunkTasks) return;
-    this.#chunkTasks = wanted;
-    const old = [...this.#chunks.values()];
-    this.#chunks.clear();
-    for (const dirty of old) this.#rechunk(dirty);
-  }
-
-  /** Marks all that a chunk of another size covered, in chunks of the present one. */
-  #rechunk({ job, range, since, urgent }: DirtyChunk): void {
-    const end = Math.min(job.spec.tasks, range.first + range.count);
-    for (let task = range.first; task < end; ) {
-      this.#touchChunk(job, task, urgent, since);
-      const { first, count } = this.#rangeOf(job, task);
-      task = first + count;
-    }
+    return this.#chunks.isDirty(job, task);
   }
 
   finish(job: Job): void {
@@ -181,25 +109,22 @@
   flush(): void {
     const ctx = this.#ctx;
     if (this.over || this.#busy || ctx.now < this.#retryAt || ctx.now >= this.#term.confirmedUntil) return;
-    this.#followLayout();
-    const rate = ctx.limits.writeRps(ctx.now) * SHARE;
-    this.#allowance = Math.min(rate, this.#allowance + ((ctx.now - this.#allowanceAt) * rate) / 1000);
-    this.#allowanceAt = ctx.now;
-    const room = Math.min(ctx.limits.txnOps, Math.floor(this.#allowance));
+    this.#chunks.followLayout();
+    const room = Math.min(ctx.limits.txnOps, this.#allowance.available());
     // Short of writes, transactions wait until there are enough for all that has to share them.
     if (room < Math.min(LEAST_ROOM, ctx.limits.txnOps, this.backlog)) return;
     if (room < 1) return;
     const batch = this.#build(room);
     if (batch.changes.length === 0) return;
-    this.#allowance -= batch.changes.length;
+    this.#allowance.spend(batch.changes.length);
     this.#busy = true;
     const { conditions, changes } = batch;
-    this.#writing = batch.chunks;
+    this.#chunks.writing = batch.chunks;
     const askedAt = ctx.now;
     ctx.state({ t: "txn", conditions, changes }, CALL_MS, (answer) => {
       if (this.over) return;
       if (answer.t !== "ok") this.#putBack(batch);
-      this.#writing = [];
+      this.#chunks.writing = [];
       switch (answer.t) {
         case "ok":
           this.#busy = false;
@@ -222,17 +147,7 @@
   }
 
   #build(room: number): Batch {
-    const batch: Batch = {
-      conditions: [{ key: KEYS.leader, version: this.#term.version }],
-      changes: [],
-      chunks: [],
-      placements: [],
-      buckets: [],
-      finals: [],
-      removed: [],
-      move: null,
-      bytes: 0,
-    };
+    const batch = emptyBatch({ key: KEYS.leader, version: this.#term.version });
     if (this.#move) {
       batch.move = this.#move;
       this.#move = null;
@@ -359,7 +274,7 @@
     const value: FinalRecord = { state, tasks: job.spec.tasks, at: job.endedAt };
     if (job.spec.shape === "service") value.service = true;
     batch.changes.push({ put: KEYS.final(job.uid), value });
-    for (const dirty of this.#chunks.values()) if (dirty.job === job) this.#chunks.delete(dirty.key);
+    this.#chunks.forget(job);
     batch.bytes += 200;
   }
 
@@ -381,13 +296,7 @@
   }
 
   #putBack(batch: Batch): void {
-    for (const dirty of batch.chunks) {
-      const newer = this.#chunks.get(dirty.key);
-      if (!this.#tables.jobs.has(dirty.job.ix)) continue;
-      if (dirty.range.count !== this.#rangeOf(dirty.job, dirty.range.first).count) this.#rechunk(dirty);
-      else if (newer) newer.urgent ||= dirty.urgent;
-      else this.#chunks.set(dirty.key, dirty);
-    }
+    for (const dirty of batch.chunks) if (this.#tables.jobs.has(dirty.job.ix)) this.#chunks.putBack(dirty);
     for (const job of batch.finals) this.#finals.add(job);
     for (const key of batch.removed) this.#gone.add(key);
     for (const bucket of batch.buckets) bucket.dirty = true;
--- /dev/null
+++ b/src/standby/succession.ts
@@ -0,0 +1,100 @@
+import type { Context } from "../core/context.js";
+import type { RecordSource } from "../core/record-reader.js";
+import type { Effect, Order } from "../core/types.js";
+import { type PeerStandby, standsBy, type Warmth } from "./role.js";
+import { Standby } from "./standby.js";
+import { Takeover } from "./takeover.js";
+
+/** While a peer could lead from its cache, the others leave it this long to stand first. */
+const DEFER_MS = 600;
+
+/** What this node knows of the other nodes' caches. */
+export interface Peers {
+  standbys(): PeerStandby[];
+}
+
+/** Who leads next, and from which records: this node's part in it. */
+export class Succession {
+  /** The steps of this node's last takeover. */
+  readonly takeover = new Takeover();
+  readonly #ctx: Context;
+  readonly #peers: Peers;
+  /** Null where the standby is not switched on. */
+  readonly #standby: Standby | null;
+  #standsBy = false;
+
+  /** `mostBytes` is what the cache may take; 0 where the standby is not switched on. */
+  constructor(ctx: Context, peers: Peers, mostBytes: number) {
+    this.#ctx = ctx;
+    this.#peers = peers;
+    this.#standby = mostBytes > 0 ? new Standby(ctx, mostBytes) : null;
+  }
+
+  get warmth(): Warmth | undefined {
+    return this.#standby?.warmth;
+  }
+
+  tick(leader: string | null): void {
+    if (!this.#standby) return;
+    // While nobody leads the roles stay: the cache is wanted at just that moment.
+    if (leader !== null) this.#standsBy = standsBy(this.#ctx.deployment.node, leader, this.#peers.standbys());
+    this.#standby.tick(this.#standsBy);
+  }
+
+  /** The leader's key is gone. */
+  vacant(): void {
+    this.takeover.begin(this.#ctx.now);
+  }
+
+  elected(): void {
+    this.takeover.note("elected", this.#ctx.now);
+  }
+
+  /** A node that could lead from its cache stands at once; the others leave it a moment. */
+  deferMs(leader: string | null): number {
+    if (!this.#standby || this.#standby.warmth === "warm") return 0;
+    const isOtherWarm = this.#peers
+      .standbys()
+      .some(({ node, isHeard, warmth }) => node !== leader && isHeard && warmth === "warm");
+    return isOtherWarm ? DEFER_MS : 0;
+  }
+
+  /** Where the term that began at this revision takes its records from. */
+  source(revision: number, cold: RecordSource): RecordSource {
+    const chosen = (source: "warm" | "cold", why: string | null) => {
+      this.takeover.source = source;
+      this.takeover.why = why;
+      this.takeover.note("confirmed", this.#ctx.now);
+    };
+    this.#standsBy = false;
+    if (this.#standby) return this.#standby.source(revision, cold, { chosen });
+    chosen("cold", "the standby is not switched on");
+    return cold;
+  }
+
+  /** Notes what the leader's effects show of its takeover. */
+  noteEffects(effects: readonly Effect[], isReady: boolean): void {
+    if (this.takeover.isOver) return;
+    const { now } = this.#ctx;
+    if (isReady) this.takeover.note("ready", now);
+    for (const effect of effects) {
+      const orders = ordersOf(effect);
+      if (orders === null) continue;
+      if (effect.t !== "do") this.takeover.note("firstAnswer", now);
+      if (orders.some(({ op }) => op === "start")) this.takeover.note("firstStart", now);
+    }
+  }
+
+  /** For the status. `newest` is the latest revision that this node knows of. */
+  report(newest: number): Record<string, unknown> {
+    const standby = this.#standby ? { standby: this.#standby.report(newest) } : {};
+    return { ...standby, takeover: this.takeover.report() };
+  }
+}
+
+/** What an effect tells a worker; null if it is for none. */
+function ordersOf(effect: Effect): readonly Order[] | null {
+  if (effect.t === "do") return effect.orders;
+  if (effect.t !== "reportAnswer" && effect.t !== "peerReportAnswer") return null;
+  return effect.answer.t === "orders" ? effect.answer.orders : null;
+}
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -269,7 +269,7 @@
   const { b } = succeeded();
   b.cloudRule = () => ({ t: "refused", why: "down" });
   const since = b.core.leaderTerm?.term.since ?? 0;
-  const boundMs = b.core.leadership.holdMs() + 3000 + 12_000;
+  const boundMs = b.core.leadership.holdMs + 3000 + 12_000;
   const keepAlive = () => b.report("B", [], { zone: "b" });
   while (b.now < since + boundMs) {
     keepAlive();
@@ -309,7 +309,7 @@
     const after = startsAfterMs(b, () => {
       if (b.now - (b.core.leaderTerm?.term.since ?? 0) > 2000) show(token);
     });
-    const holdMs = b.core.leadership.holdMs();
+    const holdMs = b.core.leadership.holdMs;
     if (shown.length === 2) assert.ok(after > 14_000 && after < 16_000, `${after} ms`);
     else assert.ok(after > holdMs + 14_000, `${after} ms, only ${shown.join()}`);
   }
@@ -340,7 +340,7 @@
     assert.ok(again, "it leads again");
     b.sent.length = 0;
     const after = startsAfterMs(b) + again.since - steppedDown;
-    const bound = b.core.leadership.holdMs() + 12_000;
+    const bound = b.core.leadership.holdMs + 12_000;
     if (between) assert.ok(after > bound, `${after} ms`);
     else assert.ok(after > 12_000 && after < 16_000, `${after} ms`);
   }
@@ -627,7 +627,7 @@
   b.lead();
   assert.ok(b.core.leaderTerm, "it takes over from its former self at once");
   b.cloudRule = () => ({ t: "refused", why: "down" });
-  const holdMs = b.core.leadership.holdMs();
+  const holdMs = b.core.leadership.holdMs;
   const endsAt = b.now + holdMs + 12_000;
   while (b.now < endsAt - 1000) {
     b.report("B", [], { zone: "b" });
