--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,3 +1,4 @@
+import type { StandbyReport } from "../standby/standby.js";
 import { Succession } from "../standby/succession.js";
 import type { Takeover } from "../standby/takeover.js";
 import { Administration } from "./administration.js";
@@ -102,9 +103,10 @@
     return !this.#peers.isAlone && !this.#peers.anyServed;
   }
 
-  /** The steps of this node's last takeover. */
-  get takeover(): Takeover {
-    return this.#succession.takeover;
+  /** For the metrics: the standby, and the steps of this node's last takeover. */
+  get succession(): { readonly standby: StandbyReport | null; readonly takeover: Takeover } {
+    const { takeover } = this.#succession;
+    return { standby: this.#succession.standbyReport(this.view.revision), takeover };
   }
 
   get leaderName(): string | null {
@@ -302,7 +304,7 @@
       leading: leaderTerm !== null,
       peers: this.#peers.report(),
     };
-    const status = { ...base, ...this.#succession.report(this.view.revision) };
+    const status = { ...base, ...this.#succession.status(this.view.revision) };
     const { confirmed } = this.leadership;
     return leaderTerm ? { ...status, ...leaderStatus(leaderTerm, confirmed, this.view.layout) } : status;
   }
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -15,6 +15,22 @@
   gauge("batches_total", "Batches of commands worked off", loop.batches);
   gauge("lag_ms", "How late the last tick came", loop.lagMs);
   gauge("users_waiting", "Requests of users that await their answer", loop.waiting);
+  const { standby, takeover } = controller.succession;
+  if (standby) {
+    gauge("standby_warm", "1 if this node could lead from its cache of the records", standby.warm ? 1 : 0);
+    gauge("standby_records", "Records in the cache", standby.records);
+    gauge("standby_bytes", "Bytes that the cache takes, about", standby.bytes);
+    if (standby.lagRevisions !== null)
+      gauge("standby_lag_revisions", "Revisions that the cache is behind", standby.lagRevisions);
+    if (standby.lagS !== null)
+      gauge("standby_lag_seconds", "Seconds since the cache was last proved complete", standby.lagS);
+  }
+  for (const [phase, ms] of takeover.phases())
+    gauge(
+      `takeover_${toSnakeCase(phase)}_ms`,
+      `Last takeover of this node: from the end of the former leader's key to this step`,
+      ms,
+    );
   const { leaderTerm } = controller;
   if (leaderTerm) {
     const machines = [...leaderTerm.tables.machines.values()];
@@ -53,3 +69,7 @@
   }
   return { type: registry.contentType, text: await registry.metrics() };
 }
+
+function toSnakeCase(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
--- a/src/standby/standby.ts
+++ b/src/standby/standby.ts
@@ -17,6 +17,17 @@
   chosen(source: "warm" | "cold", why: string | null): void;
 }
 
+/** For the status and the metrics. */
+export interface StandbyReport {
+  readonly warm: boolean;
+  /** Why the cache is cold; null while it is warm. */
+  readonly why: string | null;
+  readonly records: number;
+  readonly bytes: number;
+  readonly lagRevisions: number | null;
+  readonly lagS: number | null;
+}
+
 type State =
   | { readonly t: "idle" }
   | { readonly t: "settling"; readonly since: number }
@@ -118,16 +129,17 @@
     });
   }
 
-  /** For the status and the metrics. `newest` is the latest revision that this node knows of. */
-  report(newest: number): Record<string, unknown> {
+  /** `newest` is the latest revision that this node knows of. */
+  report(newest: number): StandbyReport {
     const lagMs = this.#state.t === "following" ? this.#state.feed.lagMs : null;
+    const why = this.#problem();
     return {
-      state: this.warmth,
-      why: this.#problem(),
+      warm: why === null,
+      why,
       records: this.#cache.size,
       bytes: this.#cache.bytes,
-      lag_revisions: this.#cache.size === 0 ? null : Math.max(0, newest - this.#cache.completeThrough),
-      lag_s: lagMs === null ? null : Math.round(lagMs / 100) / 10,
+      lagRevisions: this.#cache.size === 0 ? null : Math.max(0, newest - this.#cache.completeThrough),
+      lagS: lagMs === null ? null : Math.round(lagMs / 100) / 10,
     };
   }
 }
--- a/src/standby/succession.ts
+++ b/src/standby/succession.ts
@@ -2,7 +2,7 @@
 import type { RecordSource } from "../core/record-reader.js";
 import type { Effect, Order } from "../core/types.js";
 import { type PeerStandby, standsBy, type Warmth } from "./role.js";
-import { Standby } from "./standby.js";
+import { Standby, type StandbyReport } from "./standby.js";
 import { Takeover } from "./takeover.js";
 
 /** While a peer could lead from its cache, the others leave it this long to stand first. */
@@ -85,10 +85,19 @@
     }
   }
 
-  /** For the status. `newest` is the latest revision that this node knows of. */
-  report(newest: number): Record<string, unknown> {
-    const standby = this.#standby ? { standby: this.#standby.report(newest) } : {};
-    return { ...standby, takeover: this.takeover.report() };
+  /** Null where the standby is not switched on. `newest` is the latest revision that this node knows of. */
+  standbyReport(newest: number): StandbyReport | null {
+    return this.#standby?.report(newest) ?? null;
+  }
+
+  /** For the status. */
+  status(newest: number): Record<string, unknown> {
+    const takeover = this.takeover.report();
+    const report = this.standbyReport(newest);
+    if (report === null) return { takeover };
+    const { warm, lagRevisions, lagS, ...rest } = report;
+    const state = warm ? "warm" : "cold";
+    return { standby: { state, ...rest, lag_revisions: lagRevisions, lag_s: lagS }, takeover };
   }
 }
 
--- a/src/standby/takeover.ts
+++ b/src/standby/takeover.ts
@@ -27,14 +27,20 @@
     return this.#at.has("firstStart") && this.#at.has("firstAnswer");
   }
 
-  /** Milliseconds from the end of the former leader's key to each step. */
-  report(): Record<string, unknown> {
+  /** Milliseconds from the end of the former leader's key to each step that has come. */
+  phases(): [Phase, number][] {
     const begin = this.#at.get("leaderGone") ?? this.#at.get("elected");
-    if (begin === undefined) return {};
-    const steps = PHASES.flatMap((phase) => {
+    if (begin === undefined) return [];
+    return PHASES.flatMap((phase): [Phase, number][] => {
       const at = this.#at.get(phase);
-      return at === undefined ? [] : [[`${phase}_ms`, Math.round(at - begin)] as const];
+      return at === undefined ? [] : [[phase, Math.round(at - begin)]];
     });
+  }
+
+  /** For the status. */
+  report(): Record<string, unknown> {
+    const steps = this.phases().map(([phase, ms]) => [`${phase}_ms`, ms] as const);
+    if (steps.length === 0) return {};
     return { source: this.source, why: this.why, ...Object.fromEntries(steps) };
   }
 }
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { StateAnswer, StateCall } from "../src/core/types.js";
+import { renderMetrics } from "../src/shell/metrics.js";
 import { standsBy } from "../src/standby/role.js";
 import { Bench, job } from "./bench.js";
 import { StateService } from "./state-service.js";
@@ -88,12 +89,12 @@
   other.now = follower.now;
   takeOver(follower);
   takeOver(other);
-  assert.equal(follower.core.takeover.source, "warm");
+  assert.equal(follower.core.succession.takeover.source, "warm");
   assert.deepEqual(
     follower.lists.filter((prefix) => RECORDS.includes(prefix)),
     [],
   );
-  assert.equal(other.core.takeover.source, "cold");
+  assert.equal(other.core.succession.takeover.source, "cold");
   assert.deepEqual(tablesOf(follower), tablesOf(other));
 });
 
@@ -119,7 +120,7 @@
   leader.pass(500);
   assert.equal(third.cancel("j-1")?.t, "view");
   takeOver(follower);
-  assert.equal(follower.core.takeover.source, "warm");
+  assert.equal(follower.core.succession.takeover.source, "warm");
   const jobs = follower.core.leaderTerm?.tables;
   assert.equal(jobs?.jobByUid("j-1")?.state, "cancelled");
   assert.equal(jobs?.jobByUid("j-3")?.held.size, 1, "its placement is known");
@@ -143,8 +144,8 @@
     leader.pass(500);
     follower.stateRule = (call) => (call.t === "follow" && call.waitMs === 0 ? answer : null);
     takeOver(follower);
-    assert.equal(follower.core.takeover.source, "cold");
-    assert.equal(follower.core.takeover.why, why);
+    assert.equal(follower.core.succession.takeover.source, "cold");
+    assert.equal(follower.core.succession.takeover.why, why);
     assert.ok(RECORDS.every((prefix) => follower.lists.includes(prefix)));
     assert.equal(follower.core.leaderTerm?.tables.jobByUid("j-9")?.held.size, 1);
     assert.ok(follower.logged.includes("the standby's records are not used"));
@@ -192,7 +193,7 @@
   assert.match(String(why), /the records take \d+ bytes, more than 500/);
   assert.equal(bytes, 0);
   takeOver(follower);
-  assert.equal(follower.core.takeover.source, "cold");
+  assert.equal(follower.core.succession.takeover.source, "cold");
   assert.ok(follower.core.leaderTerm?.fleet.loaded);
 });
 
@@ -201,7 +202,7 @@
   follower.state.run({ t: "txn", conditions: [], changes: [{ put: "m/7", value: { machines: "?" } }] }, 0);
   both(6000);
   takeOver(follower);
-  assert.equal(follower.core.takeover.source, "warm");
+  assert.equal(follower.core.succession.takeover.source, "warm");
   assert.ok(follower.faults.includes("a record can't be read"));
   assert.ok(follower.state.items.has("m/7"));
 });
@@ -254,3 +255,18 @@
   const deferred = electedAfter(true);
   assert.ok(deferred >= 600 && deferred <= 1200, `${deferred} ms`);
 });
+
+test("the metrics tell whether the cache is warm, how far it is behind, and the steps of the last takeover", async () => {
+  const { follower, both } = pair();
+  both(6000);
+  const loop = { batches: 1, lagMs: 0, waiting: 0 };
+  const before = await renderMetrics(follower.core, loop);
+  assert.match(before.text, /^hillspindle_standby_warm 1$/m);
+  assert.match(before.text, /^hillspindle_standby_lag_revisions 0$/m);
+  assert.match(before.text, /^hillspindle_standby_records [1-9]/m);
+  takeOver(follower);
+  const after = await renderMetrics(follower.core, loop);
+  assert.match(after.text, /^hillspindle_standby_warm 0$/m);
+  for (const phase of ["elected", "confirmed", "ready"])
+    assert.match(after.text, new RegExp(`^hillspindle_takeover_${phase}_ms \\d+$`, "m"));
+});
--- a/test/world.ts
+++ b/test/world.ts
@@ -369,7 +369,8 @@
       case "adminAnswer":
         break;
       case "log":
-        if (effect.text === "leader ready") this.takeovers.push(node.core?.takeover.source ?? "cold");
+        if (effect.text === "leader ready")
+          this.takeovers.push(node.core?.succession.takeover.source ?? "cold");
         if (effect.level !== "debug")
           this.logs.push(`${this.now} ${node.name} ${effect.text} ${JSON.stringify(effect.data)}`);
         break;
