--- a/src/core/contact.ts
+++ b/src/core/contact.ts
@@ -1,7 +1,7 @@
 import type { Context } from "./context.js";
 import type { Fencing } from "./fencing.js";
-import type { Term } from "./leadership.js";
 import type { Machine } from "./machine.js";
+import type { Term } from "./term.js";
 import type { Report } from "./types.js";
 
 /** What was sent is given this long to show, and at least so many report intervals. */
--- a/src/core/dirty-chunks.ts
+++ b/src/core/dirty-chunks.ts
@@ -1,4 +1,5 @@
 import type { Job } from "./job.js";
+import type { Placement } from "./placement.js";
 import { KEYS, type TaskRange } from "./records.js";
 
 /** Consecutive tasks of a job whose record is yet to be written. */
@@ -10,6 +11,27 @@
   urgent: boolean;
 }
 
+/** What the record of a range of tasks holds. */
+export interface ChunkContent {
+  /** Task, machine, session, attempt. */
+  readonly held: [number, string, number, number][];
+  readonly done: number[];
+  readonly placements: Placement[];
+}
+
+export function contentOf(job: Job, { first, count }: TaskRange): ChunkContent {
+  const content: ChunkContent = { held: [], done: [], placements: [] };
+  const end = Math.min(job.spec.tasks, first + count);
+  for (let task = first; task < end; task++) {
+    if (job.isDone(task)) content.done.push(task);
+    const placement = job.held.get(task);
+    if (!placement) continue;
+    content.placements.push(placement);
+    content.held.push([task, placement.machine.name, placement.session, placement.attempt]);
+  }
+  return content;
+}
+
 /** Which records of placements are yet to be written, in chunks of the present size. */
 export class DirtyChunks {
   readonly #chunks = new Map<string, DirtyChunk>();
--- a/src/core/feature-gate.ts
+++ b/src/core/feature-gate.ts
@@ -1,6 +1,6 @@
 import type { Context } from "./context.js";
-import type { Term } from "./leadership.js";
 import { KEYS, PROTOCOL } from "./records.js";
+import type { Term } from "./term.js";
 import type { ConfigView } from "./view.js";
 
 const CALL_MS = 1500;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -5,11 +5,12 @@
 import type { Context } from "./context.js";
 import { Fencing } from "./fencing.js";
 import { noteFetch, noteImage } from "./image-caches.js";
-import type { Leadership, Term } from "./leadership.js";
+import type { Leadership } from "./leadership.js";
 import type { Machine } from "./machine.js";
 import type { Placement } from "./placement.js";
 import type { Recorder } from "./recorder.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 import type { Cause, Order, Report, ReportAnswer, ReportedTask } from "./types.js";
 import { WorkerOrders } from "./worker-orders.js";
 
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -1,9 +1,8 @@
 import type { Budget, Context } from "./context.js";
-import { noteFailure } from "./failures.js";
 import type { FeatureGate } from "./feature-gate.js";
 import { Fleet } from "./fleet.js";
 import type { Job } from "./job.js";
-import type { Leadership, Term } from "./leadership.js";
+import type { Leadership } from "./leadership.js";
 import { MachineModes } from "./machine-modes.js";
 import { Pipelines } from "./pipelines.js";
 import type { Placement } from "./placement.js";
@@ -13,15 +12,17 @@
 import type { RecordSource, StoredRecords } from "./record-reader.js";
 import { RecordRestore } from "./record-restore.js";
 import { Recorder } from "./recorder.js";
-import { KEYS, readFinal, readJob } from "./records.js";
+import { readJob } from "./records.js";
+import { rereadJob } from "./reread-job.js";
 import { Scheduler } from "./scheduler.js";
 import { StateFeed } from "./state-feed.js";
 import { Tables } from "./tables.js";
+import { noteOutcome } from "./task-outcome.js";
+import type { Term } from "./term.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
 import { TypesRecord } from "./types-record.js";
 import type { ConfigView } from "./view.js";
 
-const LIST_MS = 3000;
 const RETRY_MS = 300;
 const ROUND_MS = 100;
 /** What looks at every machine, whether or not anything happened there, is done this often. */
@@ -214,27 +215,28 @@
     this.pipelines.ended(job, job.endedAt === null ? { state } : { state, at: job.endedAt });
   }
 
+  /** A write has failed on the job's key: what is on record now? */
   #reread(job: Job): void {
-    this.#ctx.state({ t: "get", key: KEYS.job(job.uid) }, LIST_MS, (answer) => {
+    rereadJob(this.#ctx, job.uid, (found) => {
       if (this.over || !this.tables.jobs.has(job.ix)) return;
-      if (answer.t === "item") {
-        this.learnJob(answer.item);
-        // Whether or not it has changed after all, what is yet to be written is written on the version just read.
-        if (job.state === "active")
-          for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
-        if (job.finishing) this.recorder.finish(job);
-      } else if (answer.t === "absent") {
-        this.#ctx.state({ t: "get", key: KEYS.final(job.uid) }, LIST_MS, (final) => {
-          if (this.over || !this.tables.jobs.has(job.ix)) return;
-          if (final.t === "item") {
-            const record = readFinal(final.item.value);
-            job.state = record?.state ?? "done";
-            job.endedAt = record?.at ?? null;
-            this.#stopAll(job);
-            if (job.held.size === 0) this.#finished(job);
-          } else this.#feed.later(RETRY_MS, () => this.#reread(job));
-        });
-      } else this.#feed.later(RETRY_MS, () => this.#reread(job));
+      switch (found.t) {
+        case "active":
+          this.learnJob(found.item);
+          // Whether or not it has changed after all, what is yet to be written is written on the version just read.
+          if (job.state === "active")
+            for (const p of job.held.values()) if (!p.durable) this.recorder.touch(job, p.task, true);
+          if (job.finishing) this.recorder.finish(job);
+          break;
+        case "over":
+          job.state = found.state;
+          job.endedAt = found.at;
+          this.#stopAll(job);
+          if (job.held.size === 0) this.#finished(job);
+          break;
+        case "unknown":
+          this.#feed.later(RETRY_MS, () => this.#reread(job));
+          break;
+      }
     });
   }
 
@@ -257,47 +259,10 @@
   }
 
   #gone(placement: Placement, cause: Cause | "lost"): void {
-    const { job, machine, task } = placement;
-    const { now } = this.#ctx;
+    const { job, task } = placement;
     this.#dirty = true;
     this.recorder.touch(job, task, false);
-    switch (cause) {
-      case "done":
-        // What a task took after it had saved and been stopped says nothing of the whole.
-        if (
-          placement.runningSince !== null &&
-          (job.spec.checkpointS === 0 || !Number.isFinite(job.lastHeldAt))
-        )
-          this.#ctx.estimates.observe(job.spec, (now - placement.runningSince) / 1000);
-        if (job.spec.shape === "gang") {
-          // If one task of a gang is done, all of them are.
-          for (let i = 0; i < job.spec.tasks; i++) {
-            if (!job.isDone(i)) {
-              job.markDone(i);
-              this.recorder.touch(job, i, false);
-            }
-          }
-        } else if (job.spec.shape === "array") job.markDone(task);
-        job.failures = 0;
-        machine.failures = 0;
-        machine.failedJobs.clear();
-        break;
-      case "error":
-        noteFailure(this.#ctx, placement);
-        break;
-      case "no_room":
-      case "busy":
-        machine.blockedUntil = now + 2000;
-        break;
-      case "unknown":
-        job.notBefore = now + 1000;
-        break;
-      case "stopped":
-      case "peers":
-      case "incomplete":
-      case "lost":
-        break;
-    }
+    noteOutcome(this.#ctx, this.recorder, placement, cause);
     const orderly = cause === "done" || cause === "stopped";
     if (job.spec.shape === "gang" && !orderly && !job.complete) {
       for (const other of [...job.held.values()]) {
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -2,6 +2,7 @@
 import type { Context } from "./context.js";
 import { int } from "./random.js";
 import { KEYS, type LeaderRecord } from "./records.js";
+import type { LeadershipEvents, LeadershipState, Term } from "./term.js";
 import type { ConfigView } from "./view.js";
 
 const MARGIN_MS = 250;
@@ -10,40 +11,6 @@
 /** Nodes stand one after the other within so long, by chance. */
 const STAND_SPREAD_MS = 150;
 
-export type LeadershipState =
-  | { readonly t: "follower" }
-  | { readonly t: "candidate"; readonly since: number }
-  | { readonly t: "leader"; readonly term: Term };
-
-/** The facts of one time in office. */
-export interface Term {
-  readonly grant: number;
-  /** Raised now and then by the leader itself; everything sent carries it. */
-  token: number;
-  readonly firstToken: number;
-  /** The version of the leader key: every transaction of this leader depends on it. */
-  readonly version: number;
-  epochVersion: number;
-  readonly since: number;
-  confirmedUntil: number;
-  /** No leader before this one answers workers after this time. */
-  formerUntil: number;
-}
-
-export interface LeadershipEvents {
-  elected(term: Term): void;
-  deposed(why: string): void;
-  startsUnderWay(): boolean;
-  /** Every cancellation confirmed before this time is applied here; null before the records are read. */
-  knownThrough(): number | null;
-  /** True while no other node is heard. */
-  alone(): boolean;
-  /** How long this node leaves it to others to stand, once the leader is gone. */
-  deferMs(): number;
-  /** The leader's key is gone, for all that this node knows. */
-  vacant(): void;
-}
-
 /**
  * One leader under a grant of the state service. The token comes from the epoch key, which every
  * acquisition raises in the same transaction: tokens never repeat nor go back.
--- a/src/core/machine-watch.ts
+++ b/src/core/machine-watch.ts
@@ -1,8 +1,8 @@
 import type { Context } from "./context.js";
-import type { Term } from "./leadership.js";
 import type { Machine } from "./machine.js";
 import type { Scheduler } from "./scheduler.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 
 /** Machines of a zone that is cut off are kept so long. */
 const CUT_PATIENCE_MS = 300_000;
--- a/src/core/provisioner.ts
+++ b/src/core/provisioner.ts
@@ -4,12 +4,12 @@
 import type { Fleet } from "./fleet.js";
 import { GpuReserve } from "./gpu-reserve.js";
 import type { Job } from "./job.js";
-import type { Term } from "./leadership.js";
 import { type Machine, suitsType } from "./machine.js";
 import { MachineWatch } from "./machine-watch.js";
 import type { Recorder } from "./recorder.js";
 import type { Blocked, Scheduler } from "./scheduler.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 import type { MachineType } from "./types.js";
 
 const REFUSED_MS = 8000;
--- a/src/core/recorder.ts
+++ b/src/core/recorder.ts
@@ -1,7 +1,6 @@
 import type { Context } from "./context.js";
-import { type DirtyChunk, DirtyChunks } from "./dirty-chunks.js";
+import { contentOf, type DirtyChunk, DirtyChunks } from "./dirty-chunks.js";
 import type { Job } from "./job.js";
-import type { Term } from "./leadership.js";
 import { type Bucket, MachineRecords } from "./machine-records.js";
 import type { Placement } from "./placement.js";
 import {
@@ -13,7 +12,9 @@
   NO_MOVE,
   toRanges,
 } from "./records.js";
+import { SetAside } from "./set-aside.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 import { type Batch, emptyBatch, itemsOf, WriteAllowance } from "./write-batch.js";
 
 const CALL_MS = 1500;
@@ -28,9 +29,6 @@
 /** With fewer changes than this in one transaction, jobs that are over would wait for ever behind starts. */
 const LEAST_ROOM = 6;
 
-/** What a record that the state service takes in no form waits before it is tried again, by itself. */
-const SET_ASIDE_MS = 10_000;
-
 export interface RecorderEvents {
   /** These placements are now on record; they may be started. */
   recorded(placements: readonly Placement[]): void;
@@ -57,8 +55,7 @@
   readonly #chunks: DirtyChunks;
   /** So many records are written one by one, after a transaction that was refused for what is in it. */
   #oneByOne = 0;
-  /** Keys of records that can't be written, and until when they are left out. */
-  readonly #setAside = new Map<string, number>();
+  readonly #setAside: SetAside;
   readonly #finals = new Set<Job>();
   readonly #gone = new Set<string>();
   readonly machines: MachineRecords;
@@ -78,6 +75,7 @@
     this.machines = new MachineRecords(tables, () => ctx.limits.valueBytes);
     this.#chunks = new DirtyChunks(() => chunkTasks(events.layout(), ctx.limits.valueBytes));
     this.#allowance = new WriteAllowance(ctx);
+    this.#setAside = new SetAside(ctx);
   }
 
   get backlog(): number {
@@ -162,7 +160,7 @@
     const urgent: DirtyChunk[] = [];
     const lazy: DirtyChunk[] = [];
     for (const dirty of this.#chunks.values()) {
-      if (this.#isSetAside(dirty.key)) continue;
+      if (this.#setAside.has(dirty.key)) continue;
       if (dirty.urgent || now - dirty.since >= LAZY_MAX_MS) urgent.push(dirty);
       else if (now - dirty.since >= LAZY_MS) lazy.push(dirty);
     }
@@ -200,41 +198,23 @@
     return batch.bytes > TXN_BYTES || (this.#oneByOne > 0 && itemsOf(batch) > 0);
   }
 
-  #isSetAside(key: string): boolean {
-    const until = this.#setAside.get(key);
-    if (until === undefined) return false;
-    if (this.#ctx.now < until) return true;
-    this.#setAside.delete(key);
-    return false;
-  }
-
   /** Jobs that others wait for come first: the next of a pipeline starts once this one is on record as done. */
   #finalsInOrder(): Job[] {
-    const finals = [...this.#finals].filter((job) => !this.#isSetAside(KEYS.job(job.uid)));
+    const finals = [...this.#finals].filter((job) => !this.#setAside.has(KEYS.job(job.uid)));
     return finals.sort((a, b) => Number(b.dependents > 0) - Number(a.dependents > 0));
   }
 
   #addChunk(batch: Batch, dirty: DirtyChunk, room: number, jobs: Set<Job>): boolean {
     const { job, key, range } = dirty;
-    const { first } = range;
-    const last = Math.min(job.spec.tasks, first + range.count) - 1;
-    const held: [number, string, number, number][] = [];
-    const placements: Placement[] = [];
+    const { held, done, placements } = contentOf(job, range);
     const buckets = new Set<Bucket>();
-    for (let task = first; task <= last; task++) {
-      const placement = job.held.get(task);
-      if (!placement) continue;
-      placements.push(placement);
-      held.push([task, placement.machine.name, placement.session, placement.attempt]);
-      for (const bucket of this.machines.toWrite(placement.machine))
+    for (const { machine } of placements)
+      for (const bucket of this.machines.toWrite(machine))
         if (!batch.buckets.includes(bucket)) buckets.add(bucket);
-    }
     // Where they don't all fit beside it, the machines are on record first.
     for (const bucket of buckets) if (batch.changes.length < room) this.#addBucket(batch, bucket);
     if (batch.changes.length + 1 > room) return false;
     this.#chunks.delete(key);
-    const done: number[] = [];
-    for (let task = first; task <= last; task++) if (job.isDone(task)) done.push(task);
     // What another size of chunk has left empty needs no record.
     if (held.length === 0 && done.length === 0 && job.chunkVersions.size === 0) return true;
     const value: ChunkRecord = { held, done: toRanges(done) };
@@ -314,7 +294,7 @@
     this.#retryAt = this.#ctx.now + RETRY_MS;
     if (items > 1) return;
     const keys = [...batch.chunks.map(({ key }) => key), ...batch.finals.map(({ uid }) => KEYS.job(uid))];
-    for (const key of keys) this.#setAside.set(key, this.#ctx.now + SET_ASIDE_MS);
+    for (const key of keys) this.#setAside.add(key);
     if (batch.move && this.#move === batch.move) this.#move = null;
     this.#ctx.log("error", "a record can't be written", { keys, why });
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -6,7 +6,6 @@
 import type { Fleet } from "./fleet.js";
 import { noteFetch } from "./image-caches.js";
 import type { Job } from "./job.js";
-import type { Term } from "./leadership.js";
 import type { Machine } from "./machine.js";
 import { inOrder, isAged, isPatient, isPressed, mayStopLesser, waitAimS } from "./order.js";
 import type { Placement } from "./placement.js";
@@ -14,6 +13,7 @@
 import type { Recorder } from "./recorder.js";
 import { Reservations } from "./reservations.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 
 /** Fetches may take a third longer than the catalogue says. */
 const FETCH_SPREAD = 1.35;
--- /dev/null
+++ b/src/core/task-outcome.ts
@@ -0,0 +1,55 @@
+import type { Context } from "./context.js";
+import { noteFailure } from "./failures.js";
+import type { Placement } from "./placement.js";
+import type { Recorder } from "./recorder.js";
+import type { Cause } from "./types.js";
+
+/** A machine that refused a start for want of room, or for its former copy, gets nothing for so long. */
+const REFUSED_MS = 2000;
+/** A job that a worker did not know is tried again after this. */
+const UNKNOWN_MS = 1000;
+
+/** Draws the conclusions for job and machine from how a placement has ended. */
+export function noteOutcome(
+  ctx: Context,
+  recorder: Recorder,
+  placement: Placement,
+  cause: Cause | "lost",
+): void {
+  const { job, machine, task } = placement;
+  const { now } = ctx;
+  switch (cause) {
+    case "done":
+      // What a task took after it had saved and been stopped says nothing of the whole.
+      if (placement.runningSince !== null && (job.spec.checkpointS === 0 || !Number.isFinite(job.lastHeldAt)))
+        ctx.estimates.observe(job.spec, (now - placement.runningSince) / 1000);
+      if (job.spec.shape === "gang") {
+        // If one task of a gang is done, all of them are.
+        for (let i = 0; i < job.spec.tasks; i++) {
+          if (!job.isDone(i)) {
+            job.markDone(i);
+            recorder.touch(job, i, false);
+          }
+        }
+      } else if (job.spec.shape === "array") job.markDone(task);
+      job.failures = 0;
+      machine.failures = 0;
+      machine.failedJobs.clear();
+      break;
+    case "error":
+      noteFailure(ctx, placement);
+      break;
+    case "no_room":
+    case "busy":
+      machine.blockedUntil = now + REFUSED_MS;
+      break;
+    case "unknown":
+      job.notBefore = now + UNKNOWN_MS;
+      break;
+    case "stopped":
+    case "peers":
+    case "incomplete":
+    case "lost":
+      break;
+  }
+}
--- a/src/core/types-record.ts
+++ b/src/core/types-record.ts
@@ -1,7 +1,7 @@
 import type { Context } from "./context.js";
-import type { Term } from "./leadership.js";
 import { bytesOf } from "./limits.js";
 import { KEYS } from "./records.js";
+import type { Term } from "./term.js";
 import type { MachineType } from "./types.js";
 import type { ConfigView } from "./view.js";
 
--- a/src/core/worker-orders.ts
+++ b/src/core/worker-orders.ts
@@ -1,10 +1,11 @@
 import { tokenOf } from "./attempts.js";
 import type { Context } from "./context.js";
-import type { Leadership, Term } from "./leadership.js";
+import type { Leadership } from "./leadership.js";
 import type { Machine } from "./machine.js";
 import type { Placement } from "./placement.js";
 import type { Recorder } from "./recorder.js";
 import type { Tables } from "./tables.js";
+import type { Term } from "./term.js";
 import type { Order, Report } from "./types.js";
 
 const RESEND_MS = 1000;
