--- a/src/core/fencing.ts
+++ b/src/core/fencing.ts
@@ -19,7 +19,7 @@
   readonly #term: Term;
   readonly #send: (machine: Machine) => void;
   readonly #waiting = new Set<Machine>();
-  /** The same, those with most work last; may still hold machines that wait no more. */
+  /** The same as of the last sorting, those with most work last; may still hold machines that wait no more. */
   #queue: Machine[] = [];
   #isSorted = true;
   #steppedAt: number;
@@ -36,7 +36,6 @@
   add(machine: Machine): void {
     if (this.#waiting.has(machine)) return;
     this.#waiting.add(machine);
-    this.#queue.push(machine);
     this.#isSorted = false;
   }
 
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -28,7 +28,7 @@
   for (const [phase, ms] of takeover.phases())
     gauge(
       `takeover_${toSnakeCase(phase)}_ms`,
-      `Last takeover of this node: from the end of the former leader's key to this step`,
+      "Last takeover of this node: from the end of the former leader's key to this step",
       ms,
     );
   const { leaderTerm } = controller;
--- a/src/shell/worker-sockets.ts
+++ b/src/shell/worker-sockets.ts
@@ -18,10 +18,6 @@
     this.#shares = shares;
   }
 
-  get size(): number {
-    return this.#open.size;
-  }
-
   admit(socket: Socket): Admission {
     if (this.#open.has(socket)) return "keep";
     if (this.#open.size >= this.#shares.workersIn) return "refuse";
--- a/src/standby/standby.ts
+++ b/src/standby/standby.ts
@@ -12,6 +12,7 @@
 const LATE_PAUSE_MS = 3000;
 /** A cache that has outgrown its bound is tried again after this. */
 const TOO_LARGE_MS = 300_000;
+
 export interface TakeoverEvents {
   /** Where the records of the term come from, and why not from the cache. */
   chosen(source: "warm" | "cold", why: string | null): void;
@@ -77,6 +78,7 @@
 
   /** Ends the following and gives the memory back. */
   drop(): void {
+    if (this.#state.t === "idle") return;
     if (this.#state.t === "following") this.#state.feed.stop();
     this.#state = { t: "idle" };
     this.#cache.clear();
