--- a/src/core/record-reader.ts
+++ b/src/core/record-reader.ts
@@ -30,6 +30,9 @@
 
 type Read = (items: StateItem[], revision: number, askedAt: number) => void;
 
+/** Told of each page of a prefix as it comes; false ends the reading. */
+type TakePage = (items: readonly StateItem[]) => boolean;
+
 /** Reads whole prefixes from the state service, page by page, until it has them. */
 export class RecordReader implements RecordSource {
   readonly #ctx: Context;
@@ -58,6 +61,19 @@
   /** Reads all keys under a prefix; revision and time are the first page's, so that following misses nothing. */
   readAll(prefix: string, then: Read): void {
     const items: StateItem[] = [];
+    const keep = (page: readonly StateItem[]) => {
+      items.push(...page);
+      return true;
+    };
+    this.readPages(prefix, keep, (revision, askedAt) => then(items, revision, askedAt));
+  }
+
+  /** The same, page by page, for a reader that need not hold all of them. */
+  readPages(
+    prefix: string,
+    takePage: TakePage,
+    then: (firstRevision: number, firstAskedAt: number) => void,
+  ): void {
     let revision: number | null = null;
     let firstAskedAt = this.#ctx.now;
     const next = (after: string | null, tries = 0) => {
@@ -74,10 +90,10 @@
           return;
         }
         revision ??= answer.revision;
-        items.push(...answer.items);
+        if (!takePage(answer.items)) return;
         const last = answer.items.at(-1);
         if (answer.more && last) next(last.key);
-        else then(items, revision, firstAskedAt);
+        else then(revision, firstAskedAt);
       });
     };
     next(null);
--- a/src/standby/cache-feed.ts
+++ b/src/standby/cache-feed.ts
@@ -1,4 +1,5 @@
 import type { Context } from "../core/context.js";
+import { RecordReader } from "../core/record-reader.js";
 import type { StateAnswer, StateItem } from "../core/types.js";
 import { CACHED_PREFIXES, type CachedPrefix, type RecordCache } from "./record-cache.js";
 
@@ -7,7 +8,6 @@
 const FOLLOW_GRACE_MS = 1500;
 /** Changes are taken over so often at most: many come with one answer. */
 const PAUSE_MS = 400;
-const LIST_MS = 3000;
 const RETRY_MS = 1000;
 
 /** How far the copy of one prefix is. */
@@ -26,6 +26,7 @@
   readonly #ctx: Context;
   readonly #cache: RecordCache;
   readonly #prefix: CachedPrefix;
+  readonly #reader: RecordReader;
   #busy = false;
   #nextAt = 0;
   #stopped = false;
@@ -34,35 +35,32 @@
     this.#ctx = ctx;
     this.#cache = cache;
     this.#prefix = prefix;
+    this.#reader = new RecordReader(ctx);
   }
 
   stop(): void {
     this.#stopped = true;
+    this.#reader.stop();
   }
 
   tick(): void {
+    this.#reader.tick();
     if (this.#busy || this.#stopped || this.#ctx.now < this.#nextAt) return;
     this.#busy = true;
-    if (this.progress.t === "reading") this.#list(null, [], null);
+    if (this.progress.t === "reading") this.#read();
     else this.#follow();
   }
 
-  #list(after: string | null, items: StateItem[], first: number | null): void {
-    this.#ctx.state({ t: "list", prefix: this.#prefix, after }, LIST_MS, (answer) => {
-      if (this.#stopped) return;
-      if (answer.t !== "page") {
-        this.#pause(RETRY_MS);
-        return;
-      }
+  /** Takes over the pages as they come: a store too large for the cache is noticed before all of it is in memory. */
+  #read(): void {
+    this.#cache.begin(this.#prefix);
+    const takePage = (items: readonly StateItem[]) => {
+      this.#cache.add(this.#prefix, items);
+      return !this.#cache.isTooLarge;
+    };
+    this.#reader.readPages(this.#prefix, takePage, (firstRevision) => {
       // Following goes on from the first page's revision: what changed while the others were read comes again.
-      const revision = first ?? answer.revision;
-      items.push(...answer.items);
-      const last = answer.items.at(-1);
-      if (answer.more && last) {
-        this.#list(last.key, items, revision);
-        return;
-      }
-      this.#cache.replace(this.#prefix, items, revision);
+      this.#cache.complete(this.#prefix, firstRevision);
       this.progress = { t: "behind", why: "the changes since the first read are yet to come" };
       this.#pause(0);
     });
--- a/src/standby/record-cache.ts
+++ b/src/standby/record-cache.ts
@@ -30,9 +30,18 @@
   readonly #sections = new Map<CachedPrefix, Section>(
     CACHED_PREFIXES.map((prefix) => [prefix, new Section()]),
   );
+  readonly #mostBytes: number;
   /** An estimate of the memory that it takes. */
   bytes = 0;
 
+  constructor(mostBytes = Number.POSITIVE_INFINITY) {
+    this.#mostBytes = mostBytes;
+  }
+
+  get isTooLarge(): boolean {
+    return this.bytes > this.#mostBytes;
+  }
+
   get size(): number {
     let sum = 0;
     for (const { records } of this.#sections.values()) sum += records.size;
@@ -56,12 +65,22 @@
     this.bytes = 0;
   }
 
-  /** Takes over a list of all records under a prefix, read in pages, the first at this revision. */
-  replace(prefix: CachedPrefix, items: readonly StateItem[], revision: number): void {
+  /** Forgets what is under a prefix: its records are about to be read. */
+  begin(prefix: CachedPrefix): void {
     const section = this.#section(prefix);
     for (const key of [...section.records.keys()]) this.#remove(section, key);
+    section.through = 0;
+  }
+
+  /** Takes over one page of the records under a prefix. */
+  add(prefix: CachedPrefix, items: readonly StateItem[]): void {
+    const section = this.#section(prefix);
     for (const item of items) this.#put(section, item);
-    section.through = revision;
+  }
+
+  /** All pages are in here; the first was read at this revision. */
+  complete(prefix: CachedPrefix, revision: number): void {
+    this.#section(prefix).through = revision;
   }
 
   /**
--- a/src/standby/standby.ts
+++ b/src/standby/standby.ts
@@ -39,7 +39,7 @@
 export class Standby {
   readonly #ctx: Context;
   readonly #mostBytes: number;
-  #cache = new RecordCache();
+  #cache: RecordCache;
   #state: State = { t: "idle" };
   #tickedAt = Number.NEGATIVE_INFINITY;
   #pausedUntil = Number.NEGATIVE_INFINITY;
@@ -47,6 +47,7 @@
   constructor(ctx: Context, mostBytes: number) {
     this.#ctx = ctx;
     this.#mostBytes = mostBytes;
+    this.#cache = new RecordCache(mostBytes);
   }
 
   /** `isStandby` tells whether this node is the one to stand by. */
@@ -67,7 +68,7 @@
           this.#state = { t: "following", feed: new CacheFeed(this.#ctx, this.#cache) };
         break;
       case "following":
-        if (this.#cache.bytes > this.#mostBytes) this.#giveUp(this.#state.feed);
+        if (this.#cache.isTooLarge) this.#giveUp(this.#state.feed);
         else if (now >= this.#pausedUntil && this.#ctx.stateFailingSince === null) this.#state.feed.tick();
         break;
       case "tooLarge":
@@ -124,7 +125,7 @@
     state.feed.stop();
     this.#state = { t: "idle" };
     const cache = this.#cache;
-    this.#cache = new RecordCache();
+    this.#cache = new RecordCache(this.#mostBytes);
     return new WarmStart(this.#ctx, cache, revision, cold, {
       confirmed: () => events.chosen("warm", null),
       refused: (why) => events.chosen("cold", why),
--- a/test/record-cache.test.ts
+++ b/test/record-cache.test.ts
@@ -53,19 +53,22 @@
     this.store.run({ t: "txn", conditions: [], changes: [change] }, 0);
   }
 
-  /** Answers what is under way until nothing more is asked for. */
+  /** Answers what is under way until nothing more is asked for; what is asked again for a lost answer waits. */
   answerAll(how: Manner): void {
     const calls = this.#hanging.splice(0);
-    for (;;) {
-      for (const effect of this.ctx.takeEffects())
-        if (effect.t === "state") calls.push({ id: effect.id, call: effect.call });
-      const next = calls.shift();
-      if (!next) return;
+    this.#collect(calls);
+    for (let next = calls.shift(); next; next = calls.shift()) {
       if (how === "hangs") this.#hanging.push(next);
       else this.#answer(next.id, next.call, how);
+      this.#collect(how === "lost" ? this.#hanging : calls);
     }
   }
 
+  #collect(calls: { id: number; call: StateCall }[]): void {
+    for (const effect of this.ctx.takeEffects())
+      if (effect.t === "state") calls.push({ id: effect.id, call: effect.call });
+  }
+
   #answer(id: number, call: StateCall, how: Manner): void {
     if (how === "lost") {
       this.ctx.stateAnswered(id, { t: "silent" });
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -126,6 +126,27 @@
   assert.equal(jobs?.jobByUid("j-3")?.held.size, 1, "its placement is known");
 });
 
+test("the gate opens between the last follow and the election: records of both layouts are in the tables", () => {
+  const { leader, follower, both } = pair();
+  both(6000);
+  const before = [...leader.state.items.keys()].filter((key) => key.startsWith("p/"));
+  const isWatch = (call: StateCall) =>
+    call.t === "follow" && call.waitMs > 0 && RECORDS.includes(call.prefix);
+  follower.stateRule = (call) => (isWatch(call) ? "hang" : null);
+  leader.state.run({ t: "txn", conditions: [], changes: [{ put: "c/features", value: { layout: 2 } }] }, 0);
+  leader.pass(1000);
+  leader.submit(job("j-5", { tasks: 2, estimateS: 600 }));
+  leader.pass(500);
+  const added = [...leader.state.items.keys()].filter((key) => key.startsWith("p/") && !before.includes(key));
+  assert.match(added.join(), /^p\/j-5\/0\.\d+$/, "a chunk of the later layout");
+  const other = new Bench("n2", structuredCopy(follower.state));
+  other.now = follower.now;
+  takeOver(follower);
+  takeOver(other);
+  assert.equal(follower.core.succession.takeover.source, "warm");
+  assert.deepEqual(tablesOf(follower), tablesOf(other));
+});
+
 // Guarded against: a leader that acts on a copy it can't prove to be the latest.
 for (const [what, answer, why] of [
   ["the changes since are no longer kept", { t: "compacted" }, "changes no longer kept"],
@@ -197,6 +218,27 @@
   assert.ok(follower.core.leaderTerm?.fleet.loaded);
 });
 
+// Guarded against: the bound was looked at only once a list was whole, so the first read of a large store passed it.
+test("reading stops at the page with which the records outgrow the bound", () => {
+  const state = new StateService();
+  state.page = 5;
+  for (let i = 0; i < 50; i++)
+    state.run(
+      { t: "txn", conditions: [], changes: [{ put: `p/j-9${i}/0`, value: { t: "x".repeat(100) } }] },
+      0,
+    );
+  const leader = new Bench("n0", state).lead();
+  const follower = new Bench("n1", state, "n1-1", {}, 3000);
+  follower.now = leader.now;
+  for (let passed = 0; passed < 6000; passed += 100) {
+    leader.pass(100);
+    follower.pass(100);
+  }
+  assert.match(String(standbyOf(follower).why), /more than 3000/);
+  const pages = follower.lists.filter((prefix) => prefix === "p/").length;
+  assert.ok(pages >= 1 && pages <= 4, `${pages} of 10 pages`);
+});
+
 test("a record that can't be read is told of as in a cold read, and stays", () => {
   const { follower, both } = pair();
   follower.state.run({ t: "txn", conditions: [], changes: [{ put: "m/7", value: { machines: "?" } }] }, 0);
