--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -3,7 +3,7 @@
 import type { Fleet } from "./fleet.js";
 import type { Job } from "./job.js";
 import type { Machine } from "./machine.js";
-import { stoppingPriority } from "./order.js";
+import { stoppingPriority, waitAimS } from "./order.js";
 import type { Placement } from "./placement.js";
 import type { Tables } from "./tables.js";
 import type { Amount } from "./types.js";
@@ -169,11 +169,18 @@
     const { spec } = placement.job;
     const ran = placement.runningSince === null ? 0 : (this.#ctx.now - placement.runningSince) / 1000;
     // What has only just begun would have to begin once more to count.
-    const lost = spec.checkpointS > 0 ? spec.saveS + Math.max(0, START_COUNTS_S - ran) : ran;
+    const startS = this.#startCounts(placement.job) ? Math.max(0, START_COUNTS_S - ran) : 0;
+    const lost = spec.checkpointS > 0 ? spec.saveS + startS : ran;
     const tasks = spec.shape === "gang" ? spec.tasks : 1;
     return ((lost + 1) * tasks * (spec.need.cpu + spec.need.gpu * 10)) / 1000;
   }
 
+  /** Have the operators an aim for when tasks of this job start? */
+  #startCounts(job: Job): boolean {
+    if (waitAimS(this.#ctx, job) !== null) return true;
+    return this.guaranteed.has(job) && this.#ctx.deployment.objectives.some((o) => o.kind === "guarantee");
+  }
+
   /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
   stopOrderly(placement: Placement, why: string): void {
     this.#ctx.log("debug", "task stopped", {
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -478,21 +478,21 @@
 });
 
 test("room is made where starts have counted, not where they would have to be made again", () => {
-  const b = new Bench().lead();
+  const b = Bench.withAims([{ ...WAIT, jobClass: "counted" }]);
   const held = new Map<string, Said[]>([["A", []]]);
   b.report("A");
   b.submit(job("j-0", { tasks: 4, estimateS: 20 }));
   settle(b, held);
   held.set("B", []);
   b.report("B");
-  b.submit(job("j-1", { ...IDLE, tasks: 4, saveS: 2 }));
+  b.submit(job("j-1", { ...IDLE, jobClass: "counted", tasks: 4, saveS: 2 }));
   settle(b, held);
   beat(b, held, {}, 15);
   held.set(
     "A",
     live(held, "A", "j-0").map((s) => ({ ...s, state: "ended", cause: "done" })),
   );
-  b.submit(job("j-2", { ...IDLE, tasks: 4, saveS: 2 }));
+  b.submit(job("j-2", { ...IDLE, jobClass: "counted", tasks: 4, saveS: 2 }));
   beat(b, held, {}, 2);
   assert.deepEqual([live(held, "A", "j-2").length, live(held, "B", "j-1").length], [4, 4]);
   b.submit(job("j-3", { shape: "service", priority: 3, estimateS: 0, imageGb: 0 }));
@@ -501,6 +501,25 @@
   assert.deepEqual(b.ops("stop", "j-2"), []);
 });
 
+// Found on a day of troubles: to spare starts that no aim counts, work that can't save was stopped late in its run.
+test("where no aim counts starts, what can save makes room before work that would be thrown away", () => {
+  const b = new Bench().lead();
+  const held = new Map<string, Said[]>([["A", []]]);
+  b.report("A");
+  b.submit(job("j-1", { ...IDLE, tasks: 4, checkpointS: 0, saveS: 0, estimateS: 60 }));
+  settle(b, held);
+  beat(b, held, {}, 15);
+  held.set("B", []);
+  b.report("B");
+  b.submit(job("j-2", { ...IDLE, tasks: 4, saveS: 2, estimateS: 60 }));
+  settle(b, held);
+  assert.deepEqual([live(held, "A", "j-1").length, live(held, "B", "j-2").length], [4, 4]);
+  b.submit(job("j-3", { shape: "service", priority: 3, estimateS: 0, imageGb: 0 }));
+  b.pass(200);
+  assert.equal(b.ops("stop", "j-2").length, 1);
+  assert.deepEqual(b.ops("stop", "j-1"), []);
+});
+
 test("work that could not save before the aim is missed is stopped at once, as its checkpoints are kept", () => {
   for (const [saveS, graceful] of [
     [2, true],
