--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -508,7 +508,7 @@
   b.report("A");
   b.submit(job("j-1", { ...IDLE, tasks: 4, checkpointS: 0, saveS: 0, estimateS: 60 }));
   settle(b, held);
-  beat(b, held, {}, 15);
+  beat(b, held, {}, 4);
   held.set("B", []);
   b.report("B");
   b.submit(job("j-2", { ...IDLE, tasks: 4, saveS: 2, estimateS: 60 }));
