--- /dev/null
+++ b/src/admission/policy.ts
@@ -0,0 +1,51 @@
+import type { OperatorSettings } from "../config/operator.js";
+import type { Deployment } from "../core/types.js";
+
+/**
+ * What a job takes of the state service's changes in its life: the submission, a start, its done mark, its final record and
+ * the removal of the two keys before. What is accepted faster than that piles up, and the leader's records wait behind.
+ */
+const CHANGES_A_JOB = 6;
+/** Permits that were not used are kept for so many seconds' worth: quiet times pay for short bursts. */
+const BURST_S = 10;
+/** Where no slice comes, each team may have at least this many jobs accepted a second at each node. */
+const LEAST_FLOOR_RATE = 0.2;
+
+/** The operators' bounds, as every node works them out from the same settings. */
+export interface AdmissionPolicy {
+  /** Jobs accepted a second, by all nodes together. */
+  readonly rate: number;
+  /** Permits that may be unspent at any time. */
+  readonly burst: number;
+  /** Unfinished jobs, of all teams together, up to which new ones are accepted. */
+  readonly openJobs: number;
+  readonly teams: readonly TeamPolicy[];
+}
+
+export interface TeamPolicy {
+  readonly name: string;
+  readonly weight: number;
+  /** Jobs a second that one node may accept of this team while it holds no valid slice. */
+  readonly floorRate: number;
+}
+
+/** Weights are the operators', or else the teams' guaranteed CPUs; all alike where none is guaranteed any. */
+export function policyOf(settings: OperatorSettings, deployment: Deployment): AdmissionPolicy {
+  const writes = Math.min(
+    deployment.stateWriteRps,
+    deployment.stateNext?.writeRps ?? Number.POSITIVE_INFINITY,
+  );
+  const rate = settings.admission_rate > 0 ? settings.admission_rate : writes / CHANGES_A_JOB;
+  const anyGuaranteed = deployment.teams.some(({ guarantee }) => guarantee.cpu > 0);
+  const weights = deployment.teams.map(
+    ({ name, guarantee }) => settings.admission_weights[name] ?? (anyGuaranteed ? guarantee.cpu : 1),
+  );
+  const sum = weights.reduce((total, weight) => total + weight, 0);
+  const nodes = deployment.peers.length + 1;
+  const teams = deployment.teams.map(({ name }, i) => {
+    const weight = weights[i] ?? 0;
+    const part = sum > 0 ? weight / sum : 1 / weights.length;
+    return { name, weight, floorRate: Math.max(LEAST_FLOOR_RATE, (rate * part) / nodes) };
+  });
+  return { rate, burst: Math.max(1, rate * BURST_S), openJobs: settings.admission_open_jobs, teams };
+}
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -43,14 +43,30 @@
   }
 }
 
+interface ServeArguments {
+  readonly config: string;
+  readonly standby: boolean;
+  readonly admission: boolean;
+}
+
+/** A value in braces is JSON, for settings by team. */
 function parseSetting(pair: string): [string, unknown] {
   const at = pair.indexOf("=");
   if (at <= 0) fail(`${pair}: write name=value`);
   const text = pair.slice(at + 1);
+  if (text.startsWith("{")) return [pair.slice(0, at), parseJsonValue(pair, text)];
   const value = Number(text);
   return [pair.slice(0, at), text.trim() !== "" && Number.isFinite(value) ? value : text];
 }
 
+function parseJsonValue(pair: string, text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    fail(`${pair}: ${(error as Error).message}`);
+  }
+}
+
 export async function run(argv: readonly string[]): Promise<void> {
   const program = new Command("hillspindle")
     .description("A cluster scheduler: run a node, or talk to one.")
@@ -64,10 +80,11 @@
     .description("run a node")
     .requiredOption("--config <file>", "the platform's settings (TOML)")
     .option("--standby", "keep the records while another node leads, so as to take over from it warm", false)
-    .action(async ({ config, standby }: { config: string; standby: boolean }) => {
+    .option("--admission", "admit submissions by the teams' shares, and answer the rest 429", false)
+    .action(async ({ config, ...switches }: ServeArguments) => {
       const { loadServer } = await import("./server-bundle.js");
       const { server, cacheProblem } = loadServer();
-      server.serve(config, { cacheProblem, standby });
+      server.serve(config, { cacheProblem, ...switches });
     });
   program
     .command("submit")
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -26,6 +26,12 @@
   dear_factor: v.optional(number(1, 1000), 6),
   boot_factor: v.optional(number(1.5, 100), 4),
   token_raise_s: v.optional(number(5, 3600), 30),
+  /** Jobs accepted a second by all nodes; 0: as many as the state service's changes suffice for. */
+  admission_rate: v.optional(number(0, 10_000), 0),
+  admission_open_jobs: v.optional(whole(1, 1_000_000), 20_000),
+  /** By team; a team that is not named has its guaranteed CPUs as its weight. */
+  admission_weights: v.optional(v.record(v.string(), number(0, 1_000_000)), {}),
+  admission_turn_s: v.optional(number(5, 160), 60),
 });
 
 export type OperatorSettings = v.InferOutput<typeof operatorSchema>;
--- a/src/core/administration.ts
+++ b/src/core/administration.ts
@@ -56,11 +56,22 @@
         answer({ t: "bad", error: result.error });
         return;
       }
+      const unknown = this.#unknownTeam(values.admission_weights);
+      if (unknown !== undefined) {
+        answer({ t: "bad", error: `admission_weights: there is no team ${unknown}` });
+        return;
+      }
       const version = got.t === "item" ? got.item.version : 0;
       this.#writeConfig(KEYS.settings, version, result.settings, answer, { ...result.settings });
     });
   }
 
+  /** Checked as it is set: a weight stays, without effect, when its team is removed from the platform's file. */
+  #unknownTeam(weights: unknown): string | undefined {
+    const { teams } = this.#ctx.deployment;
+    return Object.keys(weights ?? {}).find((name) => !teams.some((team) => team.name === name));
+  }
+
   #changeMode(name: string, mode: "open" | "cordon" | "drain", answer: Answer): void {
     const modes = { ...this.#view.modes };
     if (mode === "open") delete modes[name];
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -27,6 +27,8 @@
   readonly random: RandomGenerator;
   readonly estimates = new Estimates();
   readonly limits: Limits;
+  /** True where fair admission is switched on: whose turn it is counts in the order of work, too. */
+  fairTurns = false;
   #effects: Effect[] = [];
   #nextId = 1;
   readonly #stateWaiting = new Map<number, (answer: StateAnswer) => void>();
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,3 +1,4 @@
+import { Admission, type AdmissionStatus } from "../admission/admission.js";
 import type { StandbyReport } from "../standby/standby.js";
 import { Succession } from "../standby/succession.js";
 import type { Takeover } from "../standby/takeover.js";
@@ -14,6 +15,7 @@
 import { seeded } from "./random.js";
 import { KEYS, PROTOCOL } from "./records.js";
 import { ReportRouter } from "./report-router.js";
+import { openJobsByTeam } from "./team-load.js";
 import type { Command, Deployment, Effect, PeerMessage, Report, ReportAnswer, StateItem } from "./types.js";
 import { ConfigView } from "./view.js";
 
@@ -31,6 +33,8 @@
   readonly epochMs: number;
   /** The most bytes that this node may keep of the records while another leads; 0 or absent: it does not stand by. */
   readonly standbyBytes?: number;
+  /** Whether submissions are admitted by the teams' shares. */
+  readonly admission?: boolean;
 }
 
 /** The whole of a node without its inputs and outputs: commands and the time go in, effects come out. */
@@ -47,12 +51,16 @@
   readonly #progress = new ProgressCounts();
   readonly #reports: ReportRouter;
   readonly #succession: Succession;
+  /** Null where fair admission is not switched on. */
+  readonly #admission: Admission | null;
   #heartbeatAt = Number.NEGATIVE_INFINITY;
   #sweepAt = 0;
 
   constructor(deployment: Deployment, identity: Identity) {
     this.ctx = new Context(deployment, this.directory, seeded(identity.seed), identity.epochMs);
     this.#peers = new PeerTable(this.ctx);
+    this.ctx.fairTurns = identity.admission ?? false;
+    this.#admission = identity.admission ? new Admission(this.ctx, identity.incarnation) : null;
     this.#succession = new Succession(this.ctx, this.#peers, identity.standbyBytes ?? 0);
     this.view = new ConfigView(this.ctx, (key) => {
       this.leadership.configChanged(key);
@@ -87,11 +95,12 @@
       isHeard: (node) => this.#peers.canReceive(node),
     });
     this.gate = new FeatureGate(this.ctx, this.view, () => this.leadership.term);
-    this.intake = new Intake(this.ctx, this.view, {
-      learned: (item, cancelled) => this.#learned(item, cancelled),
+    const intakeEvents = {
+      learned: (item: StateItem, cancelled: boolean) => this.#learned(item, cancelled),
       oldPeerHeard: () => !this.gate.isOpen && this.#peers.anyOld((node) => this.gate.isOld(node)),
-      counts: (uid) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
-    });
+      counts: (uid: string) => this.leaderTerm?.counts(uid) ?? this.#progress.get(uid) ?? null,
+    };
+    this.intake = new Intake(this.ctx, this.view, intakeEvents, this.#admission);
   }
 
   /** Can this node take requests? Not while it alone is refused by the state service; in a common outage, yes. */
@@ -195,6 +204,7 @@
   #tick(budget: Budget): void {
     this.view.tick();
     this.intake.comparePolls();
+    this.intake.answerRefused();
     this.leadership.tick();
     this.leaderTerm?.tick(budget);
     this.#succession.tick(this.leaderName);
@@ -238,6 +248,7 @@
 
   #sendHeartbeat(): void {
     this.#heartbeatAt = this.ctx.now;
+    this.#tickAdmission();
     const message: PeerMessage = {
       t: "beat",
       token: this.leadership.term?.token ?? this.leadership.highestSeen,
@@ -247,7 +258,23 @@
       protocol: PROTOCOL,
       standby: this.#succession.warmth,
     };
-    for (const to of this.ctx.deployment.peers) this.ctx.emit({ t: "peerSend", to, message });
+    for (const to of this.ctx.deployment.peers) {
+      const admission = this.#admission?.noteFor(to);
+      this.ctx.emit({ t: "peerSend", to, message: { ...message, admission } });
+    }
+  }
+
+  /** Only a leader that may decide issues slices, and only once it knows what is accepted. */
+  #tickAdmission(): void {
+    const term = this.leaderTerm;
+    const mayIssue = term?.fleet.loaded === true && this.leadership.confirmed;
+    const openJobs = () => openJobsByTeam(term?.tables.jobs.values() ?? []);
+    this.#admission?.tick(this.leaderName, mayIssue ? term.term.firstToken : null, { openJobs });
+  }
+
+  /** For the metrics; null where fair admission is not switched on. */
+  get admissionStatus(): AdmissionStatus | null {
+    return this.#admission?.report() ?? null;
   }
 
   #peerSaid(from: string, message: PeerMessage): void {
@@ -255,6 +282,7 @@
     switch (message.t) {
       case "beat":
         this.#peers.heard(from, message);
+        this.#admission?.heard(from, message.admission);
         this.gate.peerSpeaks(from, message.protocol);
         this.leadership.sawToken(message.token);
         this.leadership.peerShows(from, message.token);
@@ -304,7 +332,12 @@
       leading: leaderTerm !== null,
       peers: this.#peers.report(),
     };
-    const status = { ...base, ...this.#succession.status(this.view.revision) };
+    const admission = this.admissionStatus;
+    const status = {
+      ...base,
+      ...this.#succession.status(this.view.revision),
+      ...(admission ? { admission } : {}),
+    };
     const { confirmed } = this.leadership;
     return leaderTerm ? { ...status, ...leaderStatus(leaderTerm, confirmed, this.view.layout) } : status;
   }
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -1,8 +1,10 @@
+import type { Admission } from "../admission/admission.js";
 import { times } from "./amount.js";
 import type { Context } from "./context.js";
 import { type Found, JobLookup, viewOfEnd } from "./job-lookup.js";
 import { suitsType } from "./machine.js";
 import { cancelledRecord, fitsRecord, type JobRecord, KEYS, newJobRecord } from "./records.js";
+import { Refusals } from "./refusals.js";
 import type { JobSpec, JobView, StateCondition, StateItem, UserAnswer } from "./types.js";
 import type { ConfigView } from "./view.js";
 
@@ -32,7 +34,7 @@
   readonly conditions: readonly StateCondition[];
 }
 
-type Refusal = Extract<UserAnswer, { t: "never" | "later" | "malformed" }>;
+type Refusal = Extract<UserAnswer, { t: "never" | "later" | "malformed" | "overloaded" }>;
 
 const UNANSWERED = "the state service does not answer";
 
@@ -45,14 +47,22 @@
   readonly #view: ConfigView;
   readonly #events: IntakeEvents;
   readonly #lookup: JobLookup;
+  /** Null where fair admission is not switched on. */
+  readonly #admission: Admission | null;
+  readonly #refusals: Refusals;
   /** Polls of unfinished jobs that wait to be answered together. */
   #gathered: Poll[] = [];
 
-  constructor(ctx: Context, view: ConfigView, events: IntakeEvents) {
+  constructor(ctx: Context, view: ConfigView, events: IntakeEvents, admission: Admission | null) {
     this.#ctx = ctx;
     this.#view = view;
     this.#events = events;
+    this.#admission = admission;
     this.#lookup = new JobLookup(ctx);
+    this.#refusals = new Refusals(ctx, {
+      mayBeKnown: ({ uid, refusal, answer }) => this.#refuseUnlessKnown(uid, refusal, answer),
+      unanswered: ({ answer }) => answer(later(UNANSWERED)),
+    });
   }
 
   /* ---- submissions ---- */
@@ -66,14 +76,32 @@
     if (typeof spec === "string") this.#refuseUnlessKnown(uid, { t: "malformed", error: spec }, answer);
     else {
       this.#refusal(spec, (refusal) => {
-        if (refusal === null) this.#write(spec, answer);
+        if (refusal === null) this.#admit(spec, answer);
         else this.#refuseUnlessKnown(uid, refusal, answer);
       });
     }
   }
 
+  /** A repeat of a job that this node knows is no new one; it needs no permit. */
+  #admit(spec: JobSpec, answer: Answer): void {
+    const isNew = this.#lookup.basis(spec.uid).t === "unread";
+    const decision = isNew ? this.#admission?.decide(spec.uid, spec.team) : undefined;
+    if (decision?.t !== "wait") {
+      this.#write(spec, answer, decision?.t === "take");
+      return;
+    }
+    const error = `the share of ${spec.team} is used up for now`;
+    const refusal: Refusal = { t: "overloaded", error, afterS: decision.afterS };
+    this.#refusals.add({ uid: spec.uid, refusal, answer });
+  }
+
+  /** Answers those that were turned away since the last tick. */
+  answerRefused(): void {
+    this.#refusals.compare();
+  }
+
   /** A known job is never turned away, whatever its repeated submission looks like now. */
-  #refuseUnlessKnown(uid: string, refusal: Refusal, answer: Answer): void {
+  #refuseUnlessKnown(uid: string, refusal: UserAnswer, answer: Answer): void {
     this.#lookup.find(uid, (found) => {
       if (found === null) answer(later(UNANSWERED));
       else if (found.t === "absent") answer(refusal);
@@ -87,7 +115,7 @@
     });
   }
 
-  #write(spec: JobSpec, answer: Answer): void {
+  #write(spec: JobSpec, answer: Answer, hasPermit: boolean): void {
     const { uid } = spec;
     const record = newJobRecord(spec, Math.round(this.#ctx.wallMs));
     const conditions = [
@@ -96,6 +124,8 @@
     ];
     const changes = [{ put: KEYS.job(uid), value: record }];
     this.#ctx.state({ t: "txn", conditions, changes }, CALL_MS, (result) => {
+      // Without an answer it may have been accepted.
+      if (hasPermit && result.t !== "ok" && result.t !== "silent") this.#admission?.notAccepted(spec.team);
       if (result.t === "ok") {
         this.#lookup.note(uid, result.revision, record);
         this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision }, false);
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -33,6 +33,8 @@
   lastHeldAt = Number.NEGATIVE_INFINITY;
   finishing = false;
   blockedSince: number | null = null;
+  /** Nothing of its class and team has begun for some time, and of these jobs it is the oldest. */
+  hasTurn = false;
   /** Some machine's room may be kept for it until then. */
   reservesUntil = 0;
   /** When it was last looked into what might be stopped for it, in vain: not again at once. */
--- a/src/core/leader-status.ts
+++ b/src/core/leader-status.ts
@@ -27,6 +27,7 @@
     awaiting: [...tables.jobs.values()]
       .filter((job) => job.state === "active" && !job.released)
       .map((job) => ({ job: job.uid, tasks: job.spec.tasks, awaits: leaderTerm.pipelines.waitsFor(job) })),
+    ...longestWaits(leaderTerm),
     layout,
     move: leaderTerm.rebalancer.pending,
     moves: leaderTerm.rebalancer.moves,
@@ -34,3 +35,12 @@
     unwritten: leaderTerm.recorder.backlog,
   };
 }
+
+/** By team, in seconds; nothing where turns don't count. */
+function longestWaits(leaderTerm: LeaderTerm): Record<string, unknown> {
+  const waits = leaderTerm.longestWaits();
+  if (!waits) return {};
+  return {
+    longest_wait_s: Object.fromEntries([...waits].map(([team, ms]) => [team, Math.round(ms / 1000)])),
+  };
+}
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -18,6 +18,7 @@
 import { StateFeed } from "./state-feed.js";
 import { Tables } from "./tables.js";
 import { noteOutcome } from "./task-outcome.js";
+import { longestWaits } from "./team-load.js";
 import type { Term } from "./term.js";
 import type { Cause, MachineType, Report, ReportAnswer, StateItem } from "./types.js";
 import { TypesRecord } from "./types-record.js";
@@ -126,6 +127,8 @@
     // When work that has begun last ran is not on record: its wait counts anew, else a new leader takes all that is
     // waiting for its next tasks for aged.
     for (const job of this.tables.jobs.values()) if (job.doneCount > 0) job.lastHeldAt = now;
+    const begun = [...this.tables.jobs.values()].filter((job) => job.doneCount > 0 || job.held.size > 0);
+    this.scheduler.turns?.restore(begun);
     this.applyModes();
     this.fleet.loaded = true;
     // Reports that came in while the records were being read are as good as new ones.
@@ -333,6 +336,13 @@
     return { jobs, machines: new Set(this.tables.machines.keys()) };
   }
 
+  /** By team, how long the longest wait is; null where turns don't count. */
+  longestWaits(): ReadonlyMap<string, number> | null {
+    const { turns } = this.scheduler;
+    const { deployment, wallMs } = this.#ctx;
+    return turns && longestWaits(turns, this.tables.jobs.values(), deployment.teams, wallMs);
+  }
+
   counts(uid: string): { done: number; running: number } | null {
     const job = this.tables.jobByUid(uid);
     return job ? { done: job.doneCount, running: job.running() } : null;
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -23,7 +23,7 @@
  * within minutes. The wait counts from what is on record, so that it survives a change of leader.
  */
 export function isAged(ctx: Context, job: Job): boolean {
-  return waitedS(ctx, job) > AGED_S;
+  return job.hasTurn || waitedS(ctx, job) > AGED_S;
 }
 
 /** How long nothing of a job has been on a machine. */
@@ -138,13 +138,24 @@
  * then what can still be in time, then the shortest first, which gets the most jobs done in time. What has waited
  * for too long goes first.
  */
-export function inOrder(ctx: Context, jobs: readonly Job[], guaranteed: ReadonlySet<Job>): Job[] {
+export function inOrder(
+  ctx: Context,
+  jobs: readonly Job[],
+  guaranteed: ReadonlySet<Job>,
+  /** The place of each job among those of its class and team; all alike where turns don't count. */
+  places: ReadonlyMap<Job, number>,
+): Job[] {
   const wallNow = ctx.wallMs;
   const keyed = jobs.map((job) => {
     const ageS = (wallNow - job.since) / 1000;
     const rank = job.priority * 2 + (guaranteed.has(job) ? guaranteeBoost(ctx, ageS) : 0);
     if (isAged(ctx, job))
-      return { job, rank: Math.max(rank, AGED_RANK), late: isTooLate(ctx, job) ? 1 : 0, left: 0 };
+      return {
+        job,
+        rank: Math.max(rank, AGED_RANK),
+        late: isTooLate(ctx, job) ? 1 : 0,
+        left: places.get(job) ?? 0,
+      };
     return {
       job,
       rank,
--- /dev/null
+++ b/src/core/refusals.ts
@@ -0,0 +1,65 @@
+import type { Context } from "./context.js";
+import { KEYS } from "./records.js";
+import type { UserAnswer } from "./types.js";
+
+const CALL_MS = 1500;
+/** Conditions of a transaction, as a multiple of its changes; a submission takes two. */
+const CONDITIONS = 4;
+const CONDITIONS_EACH = 2;
+
+/** A submission that is turned away, unless its job is known already. */
+export interface Refused {
+  readonly uid: string;
+  readonly refusal: UserAnswer;
+  readonly answer: (answer: UserAnswer) => void;
+}
+
+export interface RefusalEvents {
+  /** The job may be known: what is on record decides. */
+  mayBeKnown(refused: Refused): void;
+  /** The state service could not be asked. */
+  unanswered(refused: Refused): void;
+}
+
+/**
+ * Turns submissions away, many with one comparison: under overload a read or two for each would cost the state service
+ * more than accepting them.
+ */
+export class Refusals {
+  readonly #ctx: Context;
+  readonly #events: RefusalEvents;
+  #gathered: Refused[] = [];
+
+  constructor(ctx: Context, events: RefusalEvents) {
+    this.#ctx = ctx;
+    this.#events = events;
+  }
+
+  add(refused: Refused): void {
+    this.#gathered.push(refused);
+    if (this.#gathered.length >= this.#most) this.compare();
+  }
+
+  get #most(): number {
+    return Math.max(1, Math.floor((this.#ctx.limits.txnOps * CONDITIONS) / CONDITIONS_EACH));
+  }
+
+  /** Those whose jobs have neither key were never accepted. */
+  compare(): void {
+    const refused = this.#gathered;
+    this.#gathered = [];
+    if (refused.length === 0) return;
+    const conditions = refused.flatMap(({ uid }) => [
+      { key: KEYS.job(uid), version: 0 },
+      { key: KEYS.final(uid), version: 0 },
+    ]);
+    this.#ctx.state({ t: "txn", conditions, changes: [] }, CALL_MS, (result) => {
+      const found = new Set(result.t === "conflict" ? result.failed : []);
+      for (const one of refused) {
+        if (result.t !== "ok" && result.t !== "conflict") this.#events.unanswered(one);
+        else if (found.has(KEYS.job(one.uid)) || found.has(KEYS.final(one.uid))) this.#events.mayBeKnown(one);
+        else one.answer(one.refusal);
+      }
+    });
+  }
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,9 +1,11 @@
+import { Turns } from "../admission/turns.js";
 import { add, times, ZERO } from "./amount.js";
 import { attemptOf, countersLeft } from "./attempts.js";
 import { Candidates } from "./candidates.js";
 import type { Budget, Context } from "./context.js";
 import { FailedFits } from "./failed-fits.js";
 import type { Fleet } from "./fleet.js";
+import { guaranteedJobs } from "./guarantees.js";
 import { noteFetch } from "./image-caches.js";
 import type { Job } from "./job.js";
 import type { Machine } from "./machine.js";
@@ -49,12 +51,15 @@
   blocked: Blocked[] = [];
   #found: Blocked[] = [];
   roundsCut = 0;
+  /** Null where turns don't count. */
+  readonly turns: Turns | null;
 
   constructor(ctx: Context, term: Term, tables: Tables, fleet: Fleet, recorder: Recorder) {
     this.#ctx = ctx;
     this.#term = term;
     this.#tables = tables;
     this.#recorder = recorder;
+    this.turns = ctx.fairTurns ? new Turns() : null;
     this.#failedFits = new FailedFits(ctx);
     this.#reservations = new Reservations(ctx);
     this.candidates = new Candidates(ctx, tables);
@@ -87,7 +92,7 @@
     const jobs = [...this.#tables.jobs.values()]
       .filter((job) => job.state === "active" && job.released && !job.complete)
       .sort((a, b) => a.since - b.since || (a.uid < b.uid ? -1 : 1));
-    const guaranteed = this.guaranteedJobs(jobs);
+    const guaranteed = guaranteedJobs(this.#ctx.deployment.teams, jobs);
     this.preemption.guaranteed = guaranteed;
     const waiting = jobs.filter((job) => {
       if (job.pending === 0 || job.finishing) return false;
@@ -95,29 +100,21 @@
       else if (job.notBefore > now) this.#waits(job, "it failed and is tried again later");
       return !job.unreadable && job.notBefore <= now;
     });
-    return inOrder(this.#ctx, waiting, guaranteed).map((job) => ({
+    const places = this.#giveTurns(waiting);
+    return inOrder(this.#ctx, waiting, guaranteed, places).map((job) => ({
       job,
       count: job.pending,
       guaranteed: guaranteed.has(job),
     }));
   }
 
-  /** A job is within its team's guarantee if it fits there along with the team's earlier unfinished jobs. */
-  guaranteedJobs(inOrder: readonly Job[]): Set<Job> {
-    const used = new Map<string, { cpu: number; gpu: number }>();
-    const result = new Set<Job>();
-    for (const job of inOrder) {
-      const team = this.#ctx.deployment.teams.find((t) => t.name === job.spec.team);
-      if (!team) continue;
-      const sum = used.get(team.name) ?? { cpu: 0, gpu: 0 };
-      const open = job.spec.tasks - job.doneCount;
-      const cpu = sum.cpu + job.spec.need.cpu * open;
-      const gpu = sum.gpu + job.spec.need.gpu * open;
-      used.set(team.name, { cpu, gpu });
-      if (cpu <= team.guarantee.cpu && (gpu <= team.guarantee.gpu || job.spec.need.gpu === 0))
-        result.add(job);
-    }
-    return result;
+  /** Tells the jobs whose turn it is, and returns the places of all in their lines. */
+  #giveTurns(waiting: readonly Job[]): ReadonlyMap<Job, number> {
+    if (!this.turns) return new Map();
+    const { settings, wallMs } = this.#ctx;
+    const due = this.turns.due(waiting, settings.admission_turn_s * 1000, wallMs);
+    for (const job of waiting) job.hasTurn = due.has(job);
+    return this.turns.places(waiting);
   }
 
   /** Notes for the operators why a job waits; one that has waited long is told of in the log, once for each reason. */
@@ -333,6 +330,7 @@
       stop: null,
     };
     this.#tables.place(placement);
+    this.turns?.began(job, this.#ctx.wallMs);
     job.blockedSince = null;
     const image = machine.images.get(job.spec.image);
     if (image) image.usedAt = this.#ctx.now;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -1,3 +1,5 @@
+import type { AdmissionNote } from "../admission/messages.js";
+
 /** The terms of the domain. Everything here is plain data; names have become dense indices at the boundary. */
 
 export type Shape = "array" | "gang" | "service";
@@ -231,7 +233,9 @@
   | { readonly t: "unknown" }
   | { readonly t: "never"; readonly error: string }
   | { readonly t: "malformed"; readonly error: string }
-  | { readonly t: "later"; readonly error: string; readonly afterS: number };
+  | { readonly t: "later"; readonly error: string; readonly afterS: number }
+  /** Its team has more than its share on the way: to come back after so many seconds. */
+  | { readonly t: "overloaded"; readonly error: string; readonly afterS: number };
 
 /* ---- peers ---- */
 
@@ -257,6 +261,8 @@
       readonly protocol?: number | undefined;
       /** Whether the sender could lead from its cache of the records; absent where the standby is not switched on. */
       readonly standby?: "cold" | "warm" | undefined;
+      /** Absent where fair admission is not switched on. */
+      readonly admission?: AdmissionNote | undefined;
     }
   | { readonly t: "job"; readonly item: StateItem }
   | { readonly t: "progress"; readonly rows: readonly (readonly [string, number, number])[] }
--- a/src/shell/api.ts
+++ b/src/shell/api.ts
@@ -137,10 +137,10 @@
   res.end(text);
 }
 
-function retryLater(res: Response, error: string, afterS: number): void {
+function retryLater(res: Response, error: string, afterS: number, status: 429 | 503 = 503): void {
   if (res.headersSent || res.destroyed) return;
   res.setHeader("retry-after", String(Math.ceil(afterS)));
-  json(res, 503, { error });
+  json(res, status, { error });
 }
 
 function reply(res: Response, answer: UserAnswer): void {
@@ -163,6 +163,9 @@
     case "later":
       retryLater(res, answer.error, answer.afterS);
       break;
+    case "overloaded":
+      retryLater(res, answer.error, answer.afterS, 429);
+      break;
   }
 }
 
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -1,3 +1,4 @@
+import type { TeamStatus } from "../admission/admission.js";
 import type { Controller } from "../core/controller.js";
 
 /** The library is loaded at the first scrape: most of a start-up's processor time is loading modules. */
@@ -31,6 +32,33 @@
       "Last takeover of this node: from the end of the former leader's key to this step",
       ms,
     );
+  const admission = controller.admissionStatus;
+  if (admission) {
+    const byTeam = (name: string, help: string, of: (team: TeamStatus) => number) => {
+      const perTeam = new Gauge({
+        name: `hillspindle_admission_${name}`,
+        help,
+        labelNames: ["team"],
+        registers: [registry],
+      });
+      for (const team of admission.teams) perTeam.set({ team: team.name }, of(team));
+    };
+    gauge("admission_by_slice", "1 while the leader's permits decide", admission.mode === "slice" ? 1 : 0);
+    byTeam("admitted_total", "Submissions accepted by this node", ({ admitted }) => admitted);
+    byTeam("refused_total", "Submissions answered 429", ({ refused }) => refused);
+    byTeam("available", "Submissions that could be accepted now", ({ available }) => available);
+    byTeam("told_to_wait", "Submissions that were told when to come back", ({ waiting }) => waiting);
+    byTeam(
+      "retry_after_seconds",
+      "What the last one that was refused was told",
+      ({ lastWaitS }) => lastWaitS,
+    );
+    const turns = controller.leaderTerm?.longestWaits();
+    if (turns)
+      byTeam("longest_wait_seconds", "How long nothing has begun of a line that waits", ({ name }) => {
+        return (turns.get(name) ?? 0) / 1000;
+      });
+  }
   const { leaderTerm } = controller;
   if (leaderTerm) {
     const machines = [...leaderTerm.tables.machines.values()];
--- a/src/shell/peers.ts
+++ b/src/shell/peers.ts
@@ -12,6 +12,28 @@
 const CONGESTED_BYTES = 256 * 1024;
 
 const count = v.pipe(v.number(), v.minValue(0));
+const admissionSchema = v.object({
+  report: v.object({
+    process: v.string(),
+    sequence: count,
+    slice: count,
+    sliceToken: count,
+    teams: v.array(
+      v.object({ team: v.string(), asked: count, held: v.number(), promised: count, spent: v.number() }),
+    ),
+    promises: v.array(v.object({ uid: v.string(), inMs: count })),
+    kept: v.array(v.string()),
+  }),
+  slice: v.optional(
+    v.object({
+      token: count,
+      id: count,
+      answers: count,
+      lifeMs: count,
+      permits: v.array(v.object({ team: v.string(), count, ratePerS: count })),
+    }),
+  ),
+});
 const messageSchema = v.variant("t", [
   v.object({
     t: v.literal("beat"),
@@ -21,6 +43,8 @@
     workersHeard: count,
     protocol: v.optional(count),
     standby: v.optional(v.picklist(["cold", "warm"])),
+    // What can't be read of it is no reason not to hear the heartbeat.
+    admission: v.fallback(v.optional(admissionSchema), undefined),
   }),
   v.object({
     t: v.literal("job"),
--- a/src/shell/serve.ts
+++ b/src/shell/serve.ts
@@ -17,10 +17,12 @@
   readonly cacheProblem: string | null;
   /** Whether this node keeps the records while another leads. */
   readonly standby: boolean;
+  /** Whether submissions are admitted by the teams' shares. */
+  readonly admission: boolean;
 }
 
 /** Runs a node until it is killed. */
-export function serve(configPath: string, { cacheProblem, standby }: ServeOptions): void {
+export function serve(configPath: string, { cacheProblem, standby, admission }: ServeOptions): void {
   const settings = loadSettings(configPath);
   const log = openLog(process.env.LOG_LEVEL, settings.deployment.node);
   if (cacheProblem !== null) log.info({ why: cacheProblem }, "started without the code cache");
@@ -32,6 +34,7 @@
     seed: nonce.readInt32LE(0),
     epochMs: Date.now() - performance.now(),
     standbyBytes: standby ? settings.memoryMb * MB * STANDBY_PART : 0,
+    admission,
   };
   const failed = (error: Error) => {
     log.error({ error: error.message }, "cannot listen");
--- /dev/null
+++ b/test/admission.test.ts
@@ -0,0 +1,231 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { Turns } from "../src/admission/turns.js";
+import type { UserAnswer } from "../src/core/types.js";
+import { renderMetrics } from "../src/shell/metrics.js";
+import { Bench, job, type Said } from "./bench.js";
+import { productionHears } from "./production.js";
+import { beat, live } from "./scripted-workers.js";
+import { StateService } from "./state-service.js";
+
+/** A leader that admits by shares. */
+function leading(state = new StateService()): Bench {
+  return new Bench("n0", state, "n0-1", {}, 0, true).lead();
+}
+
+/** Submits jobs of a team until one is turned away; returns its answer and the ids that were taken. */
+function flood(b: Bench, team: string, from: number, most = 500): { refused: UserAnswer; taken: string[] } {
+  const taken: string[] = [];
+  for (let i = 0; i < most; i++) {
+    const uid = `j-${from + i}`;
+    const answer = b.submit(job(uid, { team }));
+    if (answer?.t === "overloaded") return { refused: answer, taken };
+    assert.equal(answer?.t, "accepted");
+    taken.push(uid);
+  }
+  throw new Error(`${most} were taken`);
+}
+
+test("beyond its share a team's submission is refused at once with a time; repeats, cancellations and polls are not", () => {
+  const b = leading();
+  b.pass(5000);
+  const { refused, taken } = flood(b, "red", 1000);
+  assert.ok(refused.t === "overloaded" && refused.afterS >= 1 && refused.afterS <= 30);
+  assert.match(refused.error, /red/);
+  const written = [...b.state.items.keys()].filter((key) => key.startsWith("j/"));
+  assert.equal(written.length, taken.length, "what is refused is not written");
+  const [first = ""] = taken;
+  const repeat = b.submit(job(first, { team: "red" }));
+  assert.ok(repeat?.t === "accepted" && repeat.known);
+  assert.equal(b.poll(first)?.t, "view");
+  assert.equal(b.cancel(first)?.t, "view");
+  assert.equal(b.submit(job("j-5000", { team: "blue" }))?.t, "accepted", "another team's is taken");
+  assert.equal(b.submit(job("j-5001", { team: "green" }))?.t, "never");
+});
+
+test("a repeat of a job that another node accepted is 200 under overload, whatever state the job is in", () => {
+  const state = new StateService();
+  const b = leading(state);
+  const other = new Bench("n1", state);
+  other.now = b.now;
+  other.pass(500);
+  for (const uid of ["j-1", "j-2"]) assert.equal(other.submit(job(uid))?.t, "accepted");
+  assert.equal(other.cancel("j-2")?.t, "view");
+  flood(b, "red", 1000);
+  for (const uid of ["j-1", "j-2"]) {
+    const answer = b.submit(job(uid));
+    assert.ok(answer?.t === "accepted" && answer.known, uid);
+  }
+});
+
+test("submissions that are turned away cost the state service one request for many; without its answer they get 503", () => {
+  const b = leading();
+  flood(b, "red", 1000);
+  let asked = 0;
+  b.stateRule = (call) => {
+    if (call.t === "txn" && call.changes.length === 0) asked++;
+    return null;
+  };
+  for (let i = 0; i < 40; i++)
+    b.give({ t: "submit", req: 9000 + i, uid: `j-${7000 + i}`, spec: job(`j-${7000 + i}`) });
+  b.give({ t: "tick" });
+  assert.ok(Array.from({ length: 40 }, (_, i) => b.toldUser(9000 + i)).every((a) => a?.t === "overloaded"));
+  assert.ok(asked <= 3, `${asked} requests for 40`);
+  b.stateRule = (call) => (call.t === "txn" ? { t: "refused", why: "outage" } : null);
+  assert.equal(b.submit(job("j-8000"))?.t, "later");
+});
+
+test("a permit that was not used is given back: a repeat, or a write that was refused", () => {
+  const b = leading();
+  b.pass(3000);
+  const available = () => {
+    const { admission } = b.core.status() as { admission: { teams: { name: string; available: number }[] } };
+    return admission.teams.find(({ name }) => name === "red")?.available;
+  };
+  const before = available();
+  b.stateRule = (call) => (call.t === "txn" && call.changes.length === 1 ? { t: "throttled" } : null);
+  assert.equal(b.submit(job("j-1"))?.t, "later");
+  assert.equal(available(), before);
+  b.stateRule = null;
+  b.submit(job("j-1"));
+  assert.equal(available(), (before ?? 0) - 1);
+});
+
+test("weights and bounds: checked, effective at once, kept out of the way of the version before", () => {
+  const b = leading();
+  const set = (values: Record<string, unknown>) => b.admin({ t: "change", values });
+  assert.equal(set({ admission_weights: { nobody: 1 } })?.t, "bad");
+  assert.equal(set({ admission_weights: { red: -1 } })?.t, "bad");
+  assert.equal(set({ admission_turn_s: 1 })?.t, "bad");
+  assert.equal(set({ admission_rate: 2, admission_weights: { blue: 7 } })?.t, "ok");
+  const { admission } = b.core.status() as {
+    admission: { rate: number; teams: { name: string; weight: number }[] };
+  };
+  assert.equal(admission.rate, 2);
+  assert.equal(admission.teams.find(({ name }) => name === "blue")?.weight, 7);
+});
+
+test("heartbeats carry it as an added field, which production ignores; a node without it says nothing", () => {
+  const b = leading();
+  b.pass(2000);
+  const beat = b.heartbeats.get("n1");
+  assert.ok(beat?.t === "beat" && beat.admission);
+  assert.ok(productionHears(beat));
+  const plain = new Bench().lead().heartbeats.get("n1");
+  assert.ok(plain?.t === "beat" && plain.admission === undefined);
+});
+
+test("metrics and status tell of each team what was taken, refused and how long it waits", async () => {
+  const b = leading();
+  flood(b, "red", 1000);
+  const { text } = await renderMetrics(b.core, { batches: 1, lagMs: 0, waiting: 0 });
+  assert.match(text, /hillspindle_admission_refused_total\{team="red"\} 1\n/);
+  assert.match(text, /hillspindle_admission_admitted_total\{team="red"\} \d+/);
+  assert.match(text, /hillspindle_admission_retry_after_seconds\{team="red"\} \d+/);
+  assert.match(text, /hillspindle_admission_longest_wait_seconds\{team="red"\} \d+/);
+  const status = b.core.status() as { longest_wait_s: Record<string, number>; admission: { mode: string } };
+  assert.equal(status.admission.mode, "slice");
+  assert.ok("red" in status.longest_wait_s);
+});
+
+/* ---- turns ---- */
+
+const TURN_MS = 60_000;
+
+interface Waiting {
+  readonly uid: number;
+  readonly spec: { readonly team: string; readonly jobClass: string };
+  readonly since: number;
+}
+
+function waiting(uid: number, team: string, jobClass: string, since: number): Waiting {
+  return { uid, spec: { team, jobClass }, since };
+}
+
+test("property: no more than one job of each other line goes before a line's oldest, whatever the lines are made of", () => {
+  const line = fc.record({
+    team: fc.constantFrom("a", "b", "c"),
+    jobClass: fc.constantFrom("x", "y"),
+    since: fc.integer({ min: 0, max: 200_000 }),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(line, { minLength: 1, maxLength: 60 }),
+      fc.integer({ min: 0, max: 300_000 }),
+      (list, now) => {
+        const jobs = list.map(({ team, jobClass, since }, i) =>
+          waiting(i, team, jobClass, Math.min(since, now)),
+        );
+        const turns = new Turns();
+        const due = turns.due(jobs, TURN_MS, now);
+        const lines = new Set([...due].map(({ spec }) => `${spec.team} ${spec.jobClass}`));
+        assert.equal(lines.size, due.size, "one of each line");
+        for (const one of jobs) {
+          const older = jobs.filter(
+            ({ spec, since }) =>
+              spec.team === one.spec.team && spec.jobClass === one.spec.jobClass && since < one.since,
+          );
+          if (older.length === 0 && now - one.since >= TURN_MS)
+            assert.ok(
+              [...due].some(({ spec }) => spec.team === one.spec.team && spec.jobClass === one.spec.jobClass),
+            );
+        }
+        const places = turns.places(jobs);
+        for (const one of due) {
+          const before = jobs.filter(
+            (other) => other !== one && (places.get(other) ?? 0) < (places.get(one) ?? 0),
+          );
+          assert.deepEqual(before, []);
+        }
+      },
+    ),
+    { numRuns: 300, seed: 20_261_202 },
+  );
+});
+
+test("a line's turn comes once nothing of it has begun for so long, and goes when something has", () => {
+  const turns = new Turns();
+  const flood = Array.from({ length: 1000 }, (_, i) => waiting(i, "a", "x", i));
+  const huge = waiting(9999, "b", "y", 500);
+  turns.began(waiting(-1, "a", "x", 0), 59_000);
+  assert.deepEqual([...turns.due([...flood, huge], TURN_MS, 60_000)], []);
+  assert.deepEqual([...turns.due([...flood, huge], TURN_MS, 60_500)], [huge]);
+  turns.began(huge, 61_000);
+  assert.deepEqual([...turns.due([...flood, huge], TURN_MS, 100_000)], []);
+  assert.equal(turns.longestWaitMs("b", [huge], 100_000), 39_000);
+});
+
+test("under a flood of small jobs a huge array of another team has its turn, also under a new leader", () => {
+  const state = new StateService();
+  const settings = { admission_rate: 10_000, admission_turn_s: 30 };
+  state.run({ t: "txn", conditions: [], changes: [{ put: "c/settings", value: settings }] }, 0);
+  const held = new Map<string, Said[]>([["A", []]]);
+  let uid = 100;
+  const begun = () => live(held, "A", "j-7").length;
+  /** Small jobs keep coming, and each ends within a second. */
+  const play = (b: Bench, seconds: number) => {
+    for (let s = 0; s < seconds && begun() === 0; s++) {
+      const jobs = [...(b.core.leaderTerm?.tables.jobs.values() ?? [])];
+      for (let missing = 12 - jobs.filter((j) => j.pending > 0).length; missing > 0; missing--)
+        b.submit(job(`j-${uid++}`, { tasks: 1, estimateS: 1, team: "red" }));
+      beat(b, held, {}, 1);
+      const ended = (held.get("A") ?? []).map((said) =>
+        said.uid === "j-7" ? said : { ...said, state: "ended" as const, cause: "done" as const },
+      );
+      held.set("A", ended);
+    }
+  };
+  const first = leading(state);
+  first.report("A");
+  play(first, 6);
+  first.submit(job("j-7", { tasks: 5000, estimateS: 50, team: "blue", jobClass: "bulk" }));
+  play(first, 6);
+  assert.equal(begun(), 0, "the small ones go first for a while");
+  const next = new Bench("n1", state, "n1-1", {}, 0, true);
+  next.now = first.now + 5000;
+  state.expire(next.now);
+  next.lead();
+  play(next, 20);
+  assert.ok(begun() > 0, "its wait counts from its acceptance");
+});
--- a/test/bench.ts
+++ b/test/bench.ts
@@ -10,6 +10,7 @@
   JobSpec,
   MachineType,
   Order,
+  PeerMessage,
   Report,
   ReportAnswer,
   ReportedTask,
@@ -48,6 +49,8 @@
   readonly logged: string[] = [];
   /** The prefixes of which pages were asked for. */
   readonly lists: string[] = [];
+  /** The last heartbeat that was sent to each peer. */
+  readonly heartbeats = new Map<string, PeerMessage>();
   /** The nodes that reports were passed on to. */
   readonly relays: string[] = [];
   /** What the state service does with a call; null answers for real. */
@@ -68,6 +71,7 @@
   types: readonly MachineType[] = TYPES;
   budget = () => false;
   #req = 1;
+  readonly #gathers: boolean;
   #sequence = new Map<string, number>();
   readonly #users = new Map<number, UserAnswer>();
   readonly #reports = new Map<number, ReportAnswer>();
@@ -80,9 +84,11 @@
     incarnation = `${node}-1`,
     settings: Partial<Deployment> = {},
     standbyBytes = 0,
+    admission = false,
   ) {
     this.state = state;
-    const identity = { incarnation, seed: 7, epochMs: 1_000_000, standbyBytes };
+    this.#gathers = admission;
+    const identity = { incarnation, seed: 7, epochMs: 1_000_000, standbyBytes, admission };
     this.core = new Controller({ ...deployment(node), ...settings }, identity);
   }
 
@@ -128,8 +134,10 @@
         case "relay":
           this.relays.push(effect.to);
           break;
-        case "peerReportAnswer":
         case "peerSend":
+          if (effect.message.t === "beat") this.heartbeats.set(effect.to, effect.message);
+          break;
+        case "peerReportAnswer":
           break;
         default:
           effect satisfies never;
@@ -184,6 +192,8 @@
   submit(spec: JobSpec): UserAnswer | undefined {
     const req = this.#req++;
     this.give({ t: "submit", req, uid: spec.uid, spec });
+    // What is turned away is answered with the next tick.
+    if (!this.#users.has(req) && this.#gathers) this.give({ t: "tick" });
     return this.#users.get(req);
   }
 
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -4,46 +4,11 @@
 import { Estimates } from "../src/core/estimates.js";
 import { isAged } from "../src/core/order.js";
 import { Bench, job, type Said } from "./bench.js";
+import { beat, live, settle } from "./scripted-workers.js";
 
 const GPU = { type: "gpu" } as const;
 
 /** Answers direct commands as a worker would that starts at once what it is told to start. */
-function settle(b: Bench, held: Map<string, Said[]>, more: Record<string, object> = {}): void {
-  for (let round = 0; round < 12; round++) {
-    for (const { machine, orders } of b.sent.splice(0)) {
-      const list = held.get(machine) ?? [];
-      for (const o of orders) {
-        const at = list.findIndex((s) => s.uid === o.uid && s.task === o.task && s.attempt === o.attempt);
-        if (o.op === "start" && at < 0)
-          list.push({ uid: o.uid, task: o.task, attempt: o.attempt, state: "running" });
-        if (o.op === "stop" && at >= 0)
-          list[at] = { ...(list[at] as Said), state: "ended", cause: "stopped" };
-      }
-      held.set(machine, list);
-    }
-    for (const name of held.keys()) b.answerDo(name, held.get(name) ?? [], more[name] ?? {});
-    b.pass(100);
-  }
-}
-
-function beat(b: Bench, held: Map<string, Said[]>, more: Record<string, object>, seconds: number): void {
-  for (let s = 0; s < seconds; s++) {
-    for (const name of held.keys()) b.report(name, held.get(name) ?? [], more[name] ?? {});
-    b.pass(1000);
-    settleOnce(b, held, more);
-  }
-}
-
-function settleOnce(b: Bench, held: Map<string, Said[]>, more: Record<string, object>): void {
-  const before = b.now;
-  settle(b, held, more);
-  assert.ok(b.now >= before);
-}
-
-function live(held: Map<string, Said[]>, name: string, uid?: string): Said[] {
-  return (held.get(name) ?? []).filter((s) => s.state !== "ended" && (uid === undefined || s.uid === uid));
-}
-
 test("a team's tasks never hold more than its limit", () => {
   const b = new Bench().lead();
   const held = new Map<string, Said[]>();
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { guaranteedJobs } from "../src/core/guarantees.js";
 import { readFinal } from "../src/core/records.js";
 import type { JobSpec, PeerMessage, StateCall, UserAnswer } from "../src/core/types.js";
 import { encodeView, parseJob } from "../src/protocol/jobs.js";
@@ -245,7 +246,7 @@
   assert.equal(second.pending, 0);
   assert.deepEqual(leaderTerm.scheduler.blocked, []);
   assert.equal(b.cloudCalls.filter(({ t }) => t === "hire").length, 0);
-  assert.ok(leaderTerm.scheduler.guaranteedJobs([first]).has(first));
+  assert.ok(guaranteedJobs(b.core.ctx.deployment.teams, [first]).has(first));
   const { awaiting } = b.core.status() as { awaiting: unknown[] };
   assert.deepEqual(awaiting, [{ job: "j-2", tasks: 6, awaits: ["j-1"] }]);
   const poll = b.poll("j-2");
--- a/test/server-bundle.test.ts
+++ b/test/server-bundle.test.ts
@@ -14,7 +14,10 @@
   const serves = (cacheProblem: string | null) => {
     const loaded = loadServer(folder);
     assert.equal(loaded.cacheProblem, cacheProblem);
-    assert.equal(loaded.server.serve("x", { cacheProblem: null, standby: false }), "serves x");
+    assert.equal(
+      loaded.server.serve("x", { cacheProblem: null, standby: false, admission: false }),
+      "serves x",
+    );
     return loaded.codeCache();
   };
   const cache = serves("missing");
--- a/test/world.ts
+++ b/test/world.ts
@@ -104,6 +104,8 @@
   readonly state = new StateService();
   readonly workers = new Map<string, Worker>();
   readonly nodes: Node[];
+  /** Submissions that were not taken, and when they were told to come back, if they were. */
+  readonly turnedAway: { readonly team: string; readonly at: number; readonly afterS: number | null }[] = [];
   starts = 0;
   /** Tasks that a command has ended. */
   stops = 0;
@@ -141,8 +143,12 @@
   /** Whether the nodes keep the records while another leads. */
   readonly #standby: boolean;
 
-  constructor(seed: number, trouble: Trouble, scale = 1, standby = false) {
+  /** Whether submissions are admitted by the teams' shares. */
+  readonly #admission: boolean;
+
+  constructor(seed: number, trouble: Trouble, scale = 1, standby = false, admission = false) {
     this.#standby = standby;
+    this.#admission = admission;
     this.#random = seeded(seed);
     this.#trouble = trouble;
     this.#scale = scale;
@@ -257,6 +263,7 @@
       seed: node.ix * 1000 + epoch,
       epochMs: 1_000_000_000,
       standbyBytes: this.#standby && !node.old ? STANDBY_BYTES : 0,
+      admission: this.#admission && !node.old,
     });
     for (const other of this.nodes) {
       if (other !== node) this.#give(node, { t: "peerLink", node: other.name, up: true });
@@ -386,7 +393,7 @@
         const copy = structuredClone(effect.message);
         const message =
           copy.t === "beat" && (node.old || to.old)
-            ? { ...copy, protocol: undefined, standby: undefined }
+            ? { ...copy, protocol: undefined, standby: undefined, admission: undefined }
             : copy;
         this.#giveLater(to, to.epoch, this.between(1, 8), () => ({ t: "peer", from: node.name, message }));
         break;
@@ -992,7 +999,12 @@
             this.#pollOn(job);
           } else if (a?.t === "never" || a?.t === "malformed") {
             this.fault("forgotten", `${spec.uid} was turned away: ${a.error}`);
-          } else if (tries > 0) this.#at(1500, () => attempt(tries - 1));
+          } else if (tries > 0) {
+            // Who is told when to come back does so, and is never refused again.
+            const named = a?.t === "overloaded" && a.afterS < 30 ? a.afterS : null;
+            this.turnedAway.push({ team: spec.team, at: this.now, afterS: named });
+            this.#at(Math.max(1500, (named ?? 0) * 1000), () => attempt(tries - 1));
+          }
         },
       );
     };
--- a/tools/loopback/nodes.ts
+++ b/tools/loopback/nodes.ts
@@ -13,13 +13,26 @@
 export const WORKER_PORT = PORT_BASE + 5;
 const COUNT = 3;
 
+export interface TeamOptions {
+  readonly name: string;
+  readonly cpus: number;
+  readonly cpusMax: number;
+}
+
 export interface NodeOptions {
   readonly maxConnections: number;
   readonly reportS: number;
   readonly leaseS: number;
   readonly logLevel: string;
+  /** One large team where there are none. */
+  readonly teams?: readonly TeamOptions[];
+  /** What the state service takes a second. */
+  readonly stateRps?: number;
+  readonly stateWriteRps?: number;
 }
 
+const ONE_TEAM: readonly TeamOptions[] = [{ name: "red", cpus: 50_000, cpusMax: 100_000 }];
+
 /** Where the nodes listen for users and workers. */
 export const NODES = Array.from({ length: COUNT }, (_, i) => ({
   name: `n${i}`,
@@ -31,6 +44,10 @@
   const known = NODES.flatMap(({ name, host }, j) =>
     i === j ? [] : [`[[known]]\nnode = "${name}"\nsite = "a"\nendpoint = "${host}:${PEER_PORT}"`],
   );
+  const teams = (options.teams ?? ONE_TEAM).map(
+    ({ name, cpus, cpusMax }) =>
+      `[[deployment.teams]]\nname = "${name}"\ncpus = ${cpus}\ncpus_max = ${cpusMax}`,
+  );
   const host = NODES[i]?.host;
   return `node = "n${i}"
 site = "a"
@@ -42,10 +59,7 @@
 state = "127.0.0.1:${STATE_PORT}"
 [deployment]
 zones = ["a"]
-[[deployment.teams]]
-name = "red"
-cpus = 50000.0
-cpus_max = 100000.0
+${teams.join("\n")}
 [deployment.workers]
 report_s = ${options.reportS}
 lease_s = ${options.leaseS}
@@ -53,8 +67,8 @@
 gang_peer_s = 5.0
 cancel_s = ${options.leaseS * 3}
 [deployment.state]
-rps = 1000.0
-write_rps = 400.0
+rps = ${options.stateRps ?? 1000}
+write_rps = ${options.stateWriteRps ?? 400}
 value_kb = 8.0
 txn_ops = 32
 [deployment.cloud]
--- a/tools/loopback/state-server.ts
+++ b/tools/loopback/state-server.ts
@@ -16,6 +16,12 @@
 export class StateServer {
   readonly store = new StateService();
   requests = 0;
+  /** Requests refused for their rate. */
+  refused = 0;
+  /** The most requests a second; bursts of one second's worth are taken. */
+  rps = Number.POSITIVE_INFINITY;
+  #requestsLeft = 0;
+  #requestsAt = 0;
   #follows: Follow[] = [];
   readonly #server = http.createServer((req, res) => this.#serve(req, res));
 
@@ -31,6 +37,11 @@
   async #serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
     this.requests++;
     const body = (await readBody(req)) as Record<string, never>;
+    if (!this.#takes()) {
+      this.refused++;
+      reply(res, 429, {});
+      return;
+    }
     const url = new URL(req.url ?? "/", "http://state");
     const parts = url.pathname.split("/").slice(1);
     const query = url.searchParams;
@@ -54,6 +65,17 @@
     if (call.t === "txn" || call.t === "drop") this.#answerFollows();
   }
 
+  #takes(): boolean {
+    if (!Number.isFinite(this.rps)) return true;
+    const now = performance.now();
+    const earned = ((now - this.#requestsAt) * this.rps) / 1000;
+    this.#requestsLeft = Math.min(this.rps, this.#requestsLeft + earned);
+    this.#requestsAt = now;
+    if (this.#requestsLeft < 1) return false;
+    this.#requestsLeft--;
+    return true;
+  }
+
   #run(call: Exclude<StateCall, { t: "follow" }>): [number, unknown] {
     const answer = this.store.run(call, performance.now());
     const ledger = this.store.revision;
