--- a/src/admission/policy.ts
+++ b/src/admission/policy.ts
@@ -6,6 +6,8 @@
  * the removal of the two keys before. What is accepted faster than that piles up, and the leader's records wait behind.
  */
 const CHANGES_A_JOB = 6;
+/** One CPU, in the thousandths that amounts are counted in. */
+const LEAST_WEIGHT = 1000;
 /** Permits that were not used are kept for so many seconds' worth: quiet times pay for short bursts. */
 const BURST_S = 10;
 /** Where no slice comes, each team may have at least this many jobs accepted a second at each node. */
@@ -29,16 +31,15 @@
   readonly floorRate: number;
 }
 
-/** Weights are the operators', or else the teams' guaranteed CPUs; all alike where none is guaranteed any. */
+/** Weights are the operators', or else the teams' guaranteed CPUs, one at least: nobody is left out but by the operators. */
 export function policyOf(settings: OperatorSettings, deployment: Deployment): AdmissionPolicy {
   const writes = Math.min(
     deployment.stateWriteRps,
     deployment.stateNext?.writeRps ?? Number.POSITIVE_INFINITY,
   );
   const rate = settings.admission_rate > 0 ? settings.admission_rate : writes / CHANGES_A_JOB;
-  const anyGuaranteed = deployment.teams.some(({ guarantee }) => guarantee.cpu > 0);
   const weights = deployment.teams.map(
-    ({ name, guarantee }) => settings.admission_weights[name] ?? (anyGuaranteed ? guarantee.cpu : 1),
+    ({ name, guarantee }) => settings.admission_weights[name] ?? Math.max(LEAST_WEIGHT, guarantee.cpu),
   );
   const sum = weights.reduce((total, weight) => total + weight, 0);
   const nodes = deployment.peers.length + 1;
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -60,6 +60,28 @@
   }
 });
 
+test("a team that the settings no longer name: its work goes on, a repeat of it is 200, what is new is refused for good", () => {
+  const state = new StateService();
+  const before = leading(state);
+  assert.equal(before.submit(job("j-1", { team: "blue" }))?.t, "accepted");
+  const teams = before.core.ctx.deployment.teams.filter(({ name }) => name !== "blue");
+  const after = new Bench("n0", state, "n0-2", { teams }, 0, true);
+  after.now = before.now + 5000;
+  state.expire(after.now);
+  after.lead();
+  after.pass(3000);
+  const repeat = after.submit(job("j-1", { team: "blue" }));
+  assert.ok(repeat?.t === "accepted" && repeat.known);
+  assert.equal(after.submit(job("j-2", { team: "blue" }))?.t, "never");
+  assert.equal(after.submit(job("j-3", { team: "red" }))?.t, "accepted");
+  const { admission } = after.core.status() as { admission: { teams: { name: string }[] } };
+  assert.deepEqual(
+    admission.teams.map(({ name }) => name),
+    ["red"],
+  );
+  assert.equal(after.cancel("j-1")?.t, "view");
+});
+
 test("submissions that are turned away cost the state service one request for many; without its answer they get 503", () => {
   const b = leading();
   flood(b, "red", 1000);
@@ -122,7 +144,8 @@
   b.pass(2000);
   const beat = b.heartbeats.get("n1");
   assert.ok(beat?.t === "beat" && beat.admission);
-  assert.deepEqual(readPeerMessage(structuredClone(beat)), JSON.parse(JSON.stringify(beat)));
+  const asSent = JSON.parse(JSON.stringify(beat));
+  assert.deepEqual(JSON.parse(JSON.stringify(readPeerMessage(asSent))), asSent);
   const { report } = beat.admission;
   const malformed = [
     "yes",
