Fair admission: what is taken under an older leader is no debt; a node starts with its floor full

Cause: under a leader without admission each job taken was charged to the floor, which was hundreds below zero once that leader was gone; a test fails without the change. A start with one permit a team turned the first submissions of a cold start away.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -13,7 +13,7 @@
 const LEADER_FRESH_MS = 3500;
 
 export type Decision =
-  | { readonly t: "take" }
+  | { readonly t: "take"; readonly spent: boolean }
   /** Not now: come back after so many seconds. */
   | { readonly t: "wait"; readonly afterS: number };
 
@@ -67,6 +67,7 @@
   constructor(ctx: Context, process: string) {
     this.#ctx = ctx;
     this.#process = process;
+    this.#permits.tick(this.#policy, ctx.now);
     this.#report = this.#makeReport();
   }
 
@@ -91,9 +92,11 @@
     const promised = this.#promises.keep(uid, now);
     const free = this.#permits.available(team, now) - this.#promises.bound(team, now);
     if (promised !== null || free >= 1 || this.mode === "open") {
-      if (promised !== "other") this.#permits.spend(team, now);
+      // A promise of another node's is paid for there; where everything is taken nothing is.
+      const spent = promised === "own" || (promised === null && free >= 1);
+      if (spent) this.#permits.spend(team, now);
       counts.admitted++;
-      return { t: "take" };
+      return { t: "take", spent };
     }
     counts.refused++;
     const ratePerS = this.#rateOf(team);
@@ -101,9 +104,9 @@
     return { t: "wait", afterS: counts.lastWaitS };
   }
 
-  /** What was taken was known already, or could not be written: the permit is given back. */
-  notAccepted(team: string): void {
-    this.#permits.unspend(team, this.#ctx.now);
+  /** What was taken was known already, or could not be written: the permit, if one was spent, is given back. */
+  notAccepted(team: string, spent: boolean): void {
+    if (spent) this.#permits.unspend(team, this.#ctx.now);
     this.#countsOf(team).admitted--;
   }
 
--- a/src/admission/permits.ts
+++ b/src/admission/permits.ts
@@ -1,7 +1,7 @@
 import type { AdmissionSlice } from "./messages.js";
 import type { AdmissionPolicy } from "./policy.js";
 
-/** Without a slice a team may save up this many seconds of its floor, and one job at least. */
+/** Without a slice a team may save up this many seconds of its floor, and one job at least: this is what a node starts with. */
 const FLOOR_BURST_S = 10;
 
 interface TeamPermits {
@@ -105,7 +105,7 @@
   #team(name: string): TeamPermits {
     let team = this.#teams.get(name);
     if (!team) {
-      team = { held: 0, ratePerS: 0, spent: 0, floor: 1 };
+      team = { held: 0, ratePerS: 0, spent: 0, floor: Number.POSITIVE_INFINITY };
       this.#teams.set(name, team);
     }
     return team;
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -1,4 +1,4 @@
-import type { Admission } from "../admission/admission.js";
+import type { Admission, Decision } from "../admission/admission.js";
 import { times } from "./amount.js";
 import type { Context } from "./context.js";
 import { type Found, JobLookup, viewOfEnd } from "./job-lookup.js";
@@ -87,7 +87,7 @@
     const isNew = this.#lookup.basis(spec.uid).t === "unread";
     const decision = isNew ? this.#admission?.decide(spec.uid, spec.team) : undefined;
     if (decision?.t !== "wait") {
-      this.#write(spec, answer, decision?.t === "take");
+      this.#write(spec, answer, decision);
       return;
     }
     const error = `the share of ${spec.team} is used up for now`;
@@ -115,7 +115,7 @@
     });
   }
 
-  #write(spec: JobSpec, answer: Answer, hasPermit: boolean): void {
+  #write(spec: JobSpec, answer: Answer, taken?: Extract<Decision, { t: "take" }>): void {
     const { uid } = spec;
     const record = newJobRecord(spec, Math.round(this.#ctx.wallMs));
     const conditions = [
@@ -125,7 +125,8 @@
     const changes = [{ put: KEYS.job(uid), value: record }];
     this.#ctx.state({ t: "txn", conditions, changes }, CALL_MS, (result) => {
       // Without an answer it may have been accepted.
-      if (hasPermit && result.t !== "ok" && result.t !== "silent") this.#admission?.notAccepted(spec.team);
+      if (taken && result.t !== "ok" && result.t !== "silent")
+        this.#admission?.notAccepted(spec.team, taken.spent);
       if (result.t === "ok") {
         this.#lookup.note(uid, result.revision, record);
         this.#events.learned({ key: KEYS.job(uid), value: record, version: result.revision }, false);
--- a/test/admission-slices.test.ts
+++ b/test/admission-slices.test.ts
@@ -279,6 +279,11 @@
   cluster.beats(3);
   assert.equal(cluster.node("n1").admission.mode, "open");
   assert.equal(cluster.submit("n1", "red", 500), 500);
+  // What was taken then is no debt once there is no leader.
+  cluster.leader = null;
+  cluster.beats(6);
+  assert.equal(cluster.node("n1").admission.mode, "floor");
+  assert.ok(cluster.submit("n1", "red", 1) === 1);
   cluster.openJobs.clear();
   cluster.leader = "n2";
   cluster.token = 2;
