--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -194,7 +194,19 @@
     if (askedAt !== undefined) this.#permits.take(slice, askedAt);
   }
 
-  /** For status and metrics. */
+  /** For the status. */
+  status(): Record<string, unknown> {
+    const { mode, rate, openJobs, teams } = this.report();
+    const rounded = Math.round(rate * 100) / 100;
+    return {
+      mode,
+      rate: rounded,
+      open_jobs: openJobs,
+      teams: teams.map(({ lastWaitS, ...team }) => ({ ...team, last_wait_s: lastWaitS })),
+    };
+  }
+
+  /** For the metrics. */
   report(): AdmissionStatus {
     const { now } = this.#ctx;
     const policy = this.#policy;
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -332,7 +332,7 @@
       leading: leaderTerm !== null,
       peers: this.#peers.report(),
     };
-    const admission = this.admissionStatus;
+    const admission = this.#admission?.status();
     const status = {
       ...base,
       ...this.#succession.status(this.view.revision),
--- a/tools/measure-admission.ts
+++ b/tools/measure-admission.ts
@@ -1,8 +1,6 @@
-import { CloudServer } from "./loopback/cloud-server.js";
-import { CLOUD_PORT, jobBody, leader, NODES, Nodes, STATE_PORT, sleep } from "./loopback/nodes.js";
-import { StateServer } from "./loopback/state-server.js";
+import { openCluster } from "./loopback/cluster.js";
+import { jobBody, leader, NODES, sleep } from "./loopback/nodes.js";
 import { cancel, pollUntilOver, type Submission, submit } from "./loopback/user.js";
-import { WorkerFleet } from "./loopback/worker-fleet.js";
 
 /**
  * Three real controllers on loopback; one team submits ten times what all submit together in quiet. What each team's users
@@ -40,36 +38,21 @@
 ];
 const FLOOD_MS = 1000 / (TIMES * USERS.reduce((sum, { everyMs }) => sum + 1000 / everyMs, 0));
 
-const deployFile = process.env.DEPLOY_FILE ?? "deploy/service.toml";
-const state = new StateServer();
-state.listen(STATE_PORT);
-state.rps = STATE_RPS;
-state.store.limits = { valueBytes: VALUE_BYTES, txnOps: TXN_OPS, writeRps: STATE_WRITE_RPS };
 const submissions = new Map<string, Submission>();
 const progress = new Map<string, number[]>();
-const fleet = new WorkerFleet(
-  {
-    nodes: NODES,
-    reportMs: REPORT_S * 1000,
-    leaseMs: LEASE_S * 1000,
-    runMs: (uid) => (submissions.get(uid)?.team === "web" ? 3_600_000 : TASK_MS),
-  },
+const { state, fleet, nodes, deployFile } = openCluster({
   workers,
-);
-new CloudServer(fleet).listen(CLOUD_PORT);
-const teams = USERS.map(({ team }) => ({ name: team, cpus: workers * 4, cpusMax: workers * 16 }));
-const nodes = new Nodes(
-  {
-    maxConnections: 1200,
-    reportS: REPORT_S,
-    leaseS: LEASE_S,
-    logLevel: "info",
-    teams,
-    stateRps: STATE_RPS,
-    stateWriteRps: STATE_WRITE_RPS,
-  },
-  deployFile,
-);
+  runMs: (uid) => (submissions.get(uid)?.team === "web" ? 3_600_000 : TASK_MS),
+  maxConnections: 1200,
+  reportS: REPORT_S,
+  leaseS: LEASE_S,
+  logLevel: "info",
+  teams: USERS.map(({ team }) => ({ name: team, cpus: workers * 4, cpusMax: workers * 16 })),
+  stateRps: STATE_RPS,
+  stateWriteRps: STATE_WRITE_RPS,
+});
+state.rps = STATE_RPS;
+state.store.limits = { valueBytes: VALUE_BYTES, txnOps: TXN_OPS, writeRps: STATE_WRITE_RPS };
 
 let begin = 0;
 const secondOf = (at: number) => Math.floor((at - begin) / 1000);
--- a/tools/measure-fleet.ts
+++ b/tools/measure-fleet.ts
@@ -1,7 +1,5 @@
-import { CloudServer } from "./loopback/cloud-server.js";
-import { ask, CLOUD_PORT, jobBody, leader, NODES, Nodes, STATE_PORT, sleep } from "./loopback/nodes.js";
-import { StateServer } from "./loopback/state-server.js";
-import { WorkerFleet } from "./loopback/worker-fleet.js";
+import { openCluster } from "./loopback/cluster.js";
+import { ask, jobBody, leader, NODES, sleep } from "./loopback/nodes.js";
 
 /**
  * Three real controllers on loopback with thousands of stand-in workers: memory and processor time per report and machine.
@@ -14,23 +12,57 @@
 const MEASURED_MS = 20_000;
 const HOUR_MS = 3_600_000;
 const SETTLE_TRIES = 240;
+const USER_EVERY_MS = 250;
+/** Users begin once the node that is left can have been elected. */
+const ELECTED_MS = 15_000;
 
-const deployFile = process.env.DEPLOY_FILE ?? "deploy/service.toml";
 const maxConnections = Number(process.env.MAX_CONNECTIONS ?? Math.ceil(machines * 0.6) + 300);
-const state = new StateServer();
-state.listen(STATE_PORT);
-const fleet = new WorkerFleet(
-  { nodes: NODES, reportMs: REPORT_S * 1000, leaseMs: LEASE_S * 1000, runMs: () => HOUR_MS },
-  machines,
-);
-new CloudServer(fleet).listen(CLOUD_PORT);
-const nodes = new Nodes({ maxConnections, reportS: REPORT_S, leaseS: LEASE_S, logLevel: "info" }, deployFile);
+const { state, fleet, nodes } = openCluster({
+  workers: machines,
+  runMs: () => HOUR_MS,
+  maxConnections,
+  reportS: REPORT_S,
+  leaseS: LEASE_S,
+  logLevel: "info",
+});
 nodes.startAll();
 
 function held(): number {
   return fleet.workers.reduce((sum, worker) => sum + worker.tasks.length, 0);
 }
 
+/** Users at one node: a job submitted and asked about, again and again. How long each answer took, and how many never came. */
+class LoadOfUsers {
+  readonly answeredMs: number[] = [];
+  unanswered = 0;
+  #timer: NodeJS.Timeout | null = null;
+  #submitted = 0;
+
+  start(node: number): void {
+    this.#timer = setInterval(async () => {
+      const uid = `j-7${++this.#submitted}`;
+      await this.#time(() => ask(node, "/api/jobs", jobBody(uid, 1, 0.5)));
+      await this.#time(() => ask(node, `/api/jobs/${uid}`));
+    }, USER_EVERY_MS);
+  }
+
+  stop(): void {
+    if (this.#timer) clearInterval(this.#timer);
+  }
+
+  async #time(request: () => Promise<unknown>): Promise<void> {
+    const askedAt = performance.now();
+    if ((await request()) === null) this.unanswered++;
+    else this.answeredMs.push(performance.now() - askedAt);
+  }
+
+  report(): string {
+    const sorted = [...this.answeredMs].sort((a, b) => a - b);
+    const at = (part: number) => Math.round(sorted[Math.floor(part * (sorted.length - 1))] ?? 0);
+    return `${sorted.length} requests of users answered in ${at(0.5)}/${at(0.95)}/${at(1)} ms (median/95%/worst), ${this.unanswered} refused or not answered in 2 s`;
+  }
+}
+
 async function until(what: string, holds: () => Promise<boolean> | boolean): Promise<void> {
   for (let i = 0; i < SETTLE_TRIES; i++) {
     if (await holds()) return;
@@ -94,12 +126,17 @@
   const left = (leading + 1) % NODES.length;
   for (const i of NODES.keys()) if (i !== left) nodes.kill(i);
   const [refused, answers] = [fleet.refused, fleet.answeredReports];
+  const users = new LoadOfUsers();
+  setTimeout(() => users.start(left), ELECTED_MS);
   for (let i = 0; i < 9; i++) {
     await sleep((LEASE_S * 1000) / 3);
     console.log(
       `  one node left: ${fleet.leasesLost - lost} leases lost, ${fleet.answeredReports - answers} reports answered, ${fleet.refused - refused} not, ${held()} tasks`,
     );
   }
+  users.stop();
+  const status = await ask(left, "/admin/status");
+  console.log(`  beside them: ${users.report()}; token ${status?.token}, confirmed ${status?.confirmed}`);
   const { residentMb, peakMb } = nodes.usage(left);
   console.log(`that node: ${residentMb} MB, peak ${peakMb} MB`);
   console.log(`duplicates: ${fleet.history.duplicates().length}`);
--- a/tools/measure-takeover.ts
+++ b/tools/measure-takeover.ts
@@ -1,8 +1,6 @@
 import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
-import { CloudServer } from "./loopback/cloud-server.js";
-import { ask, CLOUD_PORT, jobBody, leader, NODES, Nodes, STATE_PORT, sleep } from "./loopback/nodes.js";
-import { StateServer } from "./loopback/state-server.js";
-import { WorkerFleet } from "./loopback/worker-fleet.js";
+import { openCluster } from "./loopback/cluster.js";
+import { ask, jobBody, leader, NODES, sleep } from "./loopback/nodes.js";
 
 /**
  * Three real controllers on loopback under load; the one that leads is killed again and again. Takeover from the kill and
@@ -25,21 +23,14 @@
 const QUIET_MS = 6000;
 const POLL_MS = 20;
 
-const deployFile = process.env.DEPLOY_FILE ?? "deploy/service.toml";
-const state = new StateServer();
-state.listen(STATE_PORT);
-const fleet = new WorkerFleet(
-  {
-    nodes: NODES,
-    reportMs: REPORT_S * 1000,
-    leaseMs: LEASE_S * 1000,
-    runMs: (uid) => (uid.startsWith("j-9") ? HOUR_MS : SHORT_MS),
-  },
-  machines,
-);
-new CloudServer(fleet).listen(CLOUD_PORT);
-const options = { maxConnections: 1200, reportS: REPORT_S, leaseS: LEASE_S, logLevel: "info" };
-const nodes = new Nodes(options, deployFile);
+const { state, fleet, nodes, deployFile } = openCluster({
+  workers: machines,
+  runMs: (uid) => (uid.startsWith("j-9") ? HOUR_MS : SHORT_MS),
+  maxConnections: 1200,
+  reportS: REPORT_S,
+  leaseS: LEASE_S,
+  logLevel: "info",
+});
 
 const histograms = new Map<string, Histogram>();
 function record(name: string, ms: number): void {
