--- a/src/admission/promises.ts
+++ b/src/admission/promises.ts
@@ -12,7 +12,7 @@
 const BOUND_MS = 1000;
 const COUNT_MS = 100;
 const MOST_PROMISES = 4096;
-/** Promises told to the peers in one report; of the rest only this node knows. */
+/** Promises told to the peers in one report; the rest goes with the next ones. */
 const MOST_TOLD = 200;
 
 interface Promised {
@@ -30,7 +30,7 @@
   readonly #byUid = new Map<string, Promised>();
   /** When the next place in a team's line comes up. */
   readonly #nextAt = new Map<string, number>();
-  #untold: string[] = [];
+  readonly #untold: string[] = [];
   readonly #kept: string[] = [];
   /** Counted at most so often: there may be thousands. */
   readonly #boundCounts = new Map<string, { readonly at: number; count: number }>();
@@ -93,9 +93,7 @@
 
   /** What the peers have not been told yet. */
   takeUntold(now: number): PromiseReport[] {
-    const untold = this.#untold.slice(0, MOST_TOLD);
-    this.#untold = [];
-    return untold.flatMap((uid) => {
+    return this.#untold.splice(0, MOST_TOLD).flatMap((uid) => {
       const promised = this.#byUid.get(uid);
       return promised ? [{ uid, inMs: Math.max(0, Math.round(promised.dueAt - now)) }] : [];
     });
