Last read: a transaction's conditions, the guarantee's aim and a line's wait each stand once

No change of behaviour. Refusals had its own copy of the number of conditions (now limits.txnConditions); the guarantee's aim was looked up in three places; turns worked a wait out twice; a new leader listed begun jobs also where turns don't count; expired slices were filtered again after they had been swept; the issuer's token was kept beside it. Two comments said what is no longer so.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -57,7 +57,7 @@
   readonly #counts = new Map<string, TeamCounts>();
   readonly #sentAt = new Map<number, number>();
   #sequence = 0;
-  #issuer: { readonly issuer: SliceIssuer; readonly token: number } | null = null;
+  #issuer: SliceIssuer | null = null;
   #slices: ReadonlyMap<string, AdmissionSlice> = new Map();
   /** When each peer was last heard, and whether it spoke of admission. */
   readonly #peers = new Map<string, { readonly at: number; readonly takesPart: boolean }>();
@@ -116,7 +116,7 @@
     return this.#policy.teams.find(({ name }) => name === team)?.floorRate ?? 0;
   }
 
-  /** Once before each heartbeat: what came in since is averaged and reported, and a leader issues slices. */
+  /** Once before each heartbeat: what came in since is reported, and a leader issues slices. */
   tick(leader: string | null, token: number | null, load: Load): void {
     const { now, deployment } = this.#ctx;
     this.#leader = leader;
@@ -134,10 +134,9 @@
       this.#slices = new Map();
       return;
     }
-    if (this.#issuer?.token !== token) this.#issuer = { issuer: new SliceIssuer(token, policy, now), token };
-    const { issuer } = this.#issuer;
-    issuer.heard(deployment.node, this.#report, now);
-    this.#slices = issuer.issue(policy, load.openJobs(), deployment.peers.length + 1, now);
+    if (this.#issuer?.token !== token) this.#issuer = new SliceIssuer(token, policy, now);
+    this.#issuer.heard(deployment.node, this.#report, now);
+    this.#slices = this.#issuer.issue(policy, load.openJobs(), deployment.peers.length + 1, now);
     const own = this.#slices.get(deployment.node);
     if (own) this.#take(own);
   }
@@ -180,7 +179,7 @@
     const { now } = this.#ctx;
     this.#peers.set(from, { at: now, takesPart: note !== undefined });
     if (!note) return;
-    this.#issuer?.issuer.heard(from, note.report, now);
+    this.#issuer?.heard(from, note.report, now);
     this.#promises.heard(note.report.promises, now);
     for (const uid of note.report.kept) {
       const team = this.#promises.keptElsewhere(uid);
--- a/src/admission/holder.ts
+++ b/src/admission/holder.ts
@@ -48,7 +48,7 @@
     this.#expiresAt = expiresAt;
   }
 
-  /** Drops what a node that acknowledges nothing can no longer use. */
+  /** Drops what a node that acknowledges nothing can no longer use; to be called before anything is counted. */
   sweep(now: number): void {
     this.#issued = this.#issued.filter(({ expiresAt }) => now < expiresAt);
   }
@@ -57,7 +57,7 @@
   outstanding(team: string, now: number): number {
     if (now >= this.#expiresAt) return 0;
     let sum = Math.max(0, entryOf(this.report, team)?.held ?? 0);
-    for (const { permits, expiresAt } of this.#issued) if (now < expiresAt) sum += permits.get(team) ?? 0;
+    for (const { permits } of this.#issued) sum += permits.get(team) ?? 0;
     return sum;
   }
 
--- a/src/admission/slice-issuer.ts
+++ b/src/admission/slice-issuer.ts
@@ -41,7 +41,7 @@
  * clock, which is later than by the node's. So two nodes never spend the same room.
  */
 export class SliceIssuer {
-  readonly #token: number;
+  readonly token: number;
   readonly #holders = new Map<string, Holder>();
   /** Permits that may be spent or issued at this moment, those in escrow among them. */
   #tokens: number;
@@ -53,7 +53,7 @@
 
   /** What an earlier leader issued may still be spent: this one begins with a second's worth. */
   constructor(token: number, policy: AdmissionPolicy, now: number) {
-    this.#token = token;
+    this.token = token;
     this.#tokens = policy.rate;
     this.#refilledAt = now;
   }
@@ -61,7 +61,7 @@
   /** Takes over a node's report; what it has spent since the one before is gone. */
   heard(node: string, report: AdmissionReport, now: number): void {
     const known = this.#holders.get(node);
-    if (known?.report.process === report.process) this.#tokens -= known.heard(report, this.#token, now);
+    if (known?.report.process === report.process) this.#tokens -= known.heard(report, this.token, now);
     // A process that has ended spends nothing more, and what it had accepted is on record.
     else this.#holders.set(node, new Holder(report, now, now + SLICE_LIFE_MS));
   }
@@ -148,7 +148,7 @@
     const expiresAt = now + SLICE_LIFE_MS * DRIFT + MARGIN_MS;
     holder.issue(id, new Map(permits.map(({ team, count }) => [team, count])), expiresAt);
     const { sequence } = holder.report;
-    return { token: this.#token, id, answers: sequence, lifeMs: SLICE_LIFE_MS, permits };
+    return { token: this.token, id, answers: sequence, lifeMs: SLICE_LIFE_MS, permits };
   }
 }
 
--- a/src/admission/turns.ts
+++ b/src/admission/turns.ts
@@ -49,10 +49,7 @@
       if (!first || job.since < first.since) oldest.set(line, job);
     }
     const due = new Set<J>();
-    for (const [line, job] of oldest) {
-      const from = Math.max(job.since, this.#beganAt.get(line) ?? Number.NEGATIVE_INFINITY);
-      if (now - from >= afterMs) due.add(job);
-    }
+    for (const job of oldest.values()) if (this.#waitMs(job, now) >= afterMs) due.add(job);
     return due;
   }
 
@@ -60,12 +57,15 @@
   longestWaitMs(team: string, waiting: readonly WaitingJob[], now: number): number {
     let longest = 0;
     for (const job of waiting) {
-      if (job.spec.team !== team) continue;
-      const beganAt = this.#beganAt.get(lineOf(job)) ?? Number.NEGATIVE_INFINITY;
-      longest = Math.max(longest, now - Math.max(job.since, beganAt));
+      if (job.spec.team === team) longest = Math.max(longest, this.#waitMs(job, now));
     }
     return longest;
   }
+
+  /** For how long a job has waited with nothing of its line beginning. */
+  #waitMs(job: WaitingJob, now: number): number {
+    return now - Math.max(job.since, this.#beganAt.get(lineOf(job)) ?? Number.NEGATIVE_INFINITY);
+  }
 }
 
 function lineOf({ spec: { team, jobClass } }: WaitingJob): string {
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -10,8 +10,6 @@
 
 const CALL_MS = 1500;
 const TRIES = 4;
-/** Conditions of a transaction, as a multiple of its changes. */
-const CONDITIONS = 4;
 
 export interface IntakeEvents {
   /** This node has written a job's key: accepted it, or cancelled it. */
@@ -207,7 +205,7 @@
   }
 
   get #mostConditions(): number {
-    return this.#ctx.limits.txnOps * CONDITIONS;
+    return this.#ctx.limits.txnConditions;
   }
 
   /**
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -127,8 +127,9 @@
     // When work that has begun last ran is not on record: its wait counts anew, else a new leader takes all that is
     // waiting for its next tasks for aged.
     for (const job of this.tables.jobs.values()) if (job.doneCount > 0) job.lastHeldAt = now;
-    const begun = [...this.tables.jobs.values()].filter((job) => job.doneCount > 0 || job.held.size > 0);
-    this.scheduler.turns?.restore(begun);
+    this.scheduler.turns?.restore(
+      [...this.tables.jobs.values()].filter((job) => job.doneCount > 0 || job.held.size > 0),
+    );
     this.applyModes();
     this.fleet.loaded = true;
     // Reports that came in while the records were being read are as good as new ones.
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -5,6 +5,9 @@
 /** Without a known lower rate, the part of the present one that is used meanwhile. */
 const THROTTLED_PART = 0.7;
 
+/** Conditions of a transaction, as a multiple of its changes. */
+const CONDITIONS = 4;
+
 /**
  * What may be asked of the state service. Its limits may fall to the next ones at any moment, so sizes and numbers of
  * operations keep to the smaller of both from the start: the fall is then no event. The rate of changes is the present
@@ -30,6 +33,11 @@
     return Math.min(this.#now.txnOps, this.#next?.txnOps ?? Number.POSITIVE_INFINITY);
   }
 
+  /** The most conditions of one transaction. */
+  get txnConditions(): number {
+    return this.txnOps * CONDITIONS;
+  }
+
   writeRps(now: number): number {
     const { writeRps } = this.#now;
     if (now >= this.#throttledUntil) return writeRps;
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -107,12 +107,18 @@
   return ctx.deployment.objectives.some((o) => o.kind === "finished" && o.jobClass === job.spec.jobClass);
 }
 
+/** The time within which the operators want guaranteed work to start; null where they have no such aim. */
+export function guaranteeAimS(ctx: Context): number | null {
+  const aim = ctx.deployment.objectives.find((o) => o.kind === "guarantee");
+  return aim ? (aim.withinS ?? 0) : null;
+}
+
 /**
  * What is within its team's guarantee goes before more important work for some time after its acceptance;
  * later it only goes before its equals.
  */
 function guaranteeBoost(ctx: Context, ageS: number): number {
-  const aimS = ctx.deployment.objectives.find((o) => o.kind === "guarantee")?.withinS ?? 0;
+  const aimS = guaranteeAimS(ctx) ?? 0;
   return ageS <= Math.max(GUARANTEE_S, aimS) ? 3 : 1;
 }
 
@@ -124,7 +130,7 @@
 
 export function isPatient(ctx: Context, job: Job): boolean {
   if (job.spec.shape !== "array") return false;
-  const aimS = ctx.deployment.objectives.find((o) => o.kind === "guarantee")?.withinS ?? 0;
+  const aimS = guaranteeAimS(ctx) ?? 0;
   return (ctx.wallMs - job.since) / 1000 < aimS * PATIENCE_PART;
 }
 
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -3,7 +3,7 @@
 import type { Fleet } from "./fleet.js";
 import type { Job } from "./job.js";
 import type { Machine } from "./machine.js";
-import { stoppingPriority, waitAimS } from "./order.js";
+import { guaranteeAimS, stoppingPriority, waitAimS } from "./order.js";
 import type { Placement } from "./placement.js";
 import type { Tables } from "./tables.js";
 import type { Amount } from "./types.js";
@@ -178,7 +178,7 @@
   /** Have the operators an aim for when tasks of this job start? */
   #startCounts(job: Job): boolean {
     if (waitAimS(this.#ctx, job) !== null) return true;
-    return this.guaranteed.has(job) && this.#ctx.deployment.objectives.some((o) => o.kind === "guarantee");
+    return this.guaranteed.has(job) && guaranteeAimS(this.#ctx) !== null;
   }
 
   /** Stops a task, with time to save if it can; a gang is stopped as a whole. */
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -3,8 +3,7 @@
 import type { UserAnswer } from "./types.js";
 
 const CALL_MS = 1500;
-/** Conditions of a transaction, as a multiple of its changes; a submission takes two. */
-const CONDITIONS = 4;
+/** That a job is unknown takes two conditions. */
 const CONDITIONS_EACH = 2;
 
 /** A submission that is turned away, unless its job is known already. */
@@ -41,7 +40,7 @@
   }
 
   get #most(): number {
-    return Math.max(1, Math.floor((this.#ctx.limits.txnOps * CONDITIONS) / CONDITIONS_EACH));
+    return Math.floor(this.#ctx.limits.txnConditions / CONDITIONS_EACH);
   }
 
   /** Those whose jobs have neither key were never accepted. */
--- a/test/world.ts
+++ b/test/world.ts
@@ -1000,7 +1000,7 @@
           } else if (a?.t === "never" || a?.t === "malformed") {
             this.fault("forgotten", `${spec.uid} was turned away: ${a.error}`);
           } else if (tries > 0) {
-            // Who is told when to come back does so, and is never refused again.
+            // Who is told when to come back does so.
             const named = a?.t === "overloaded" && a.afterS < 30 ? a.afterS : null;
             this.turnedAway.push({ team: spec.team, at: this.now, afterS: named });
             this.#at(Math.max(1500, (named ?? 0) * 1000), () => attempt(tries - 1));
