Add the gravest case of the review: a task on two machines after hold_s is lowered

A new leader takes the time for which a cut-off leader may go on answering workers from the settings of its own election. If operators lower hold_s while the zone of the old leader is cut off, it ends the lease of a worker there too early and starts its task elsewhere.

--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -7,6 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { Cloud } from "./cloud.mjs";
 import { call, nowMs, Record, sleep } from "./common.mjs";
+import { Link } from "./proxy.mjs";
 import { StateService } from "./state.mjs";
 import { Fleet } from "./workers.mjs";
 
@@ -63,8 +64,34 @@
       });
     }
     this.fleet = new Fleet({ record: this.record, nodes: this.nodes, ...site.workers, fetchGbPerS: site.fetchGbPerS });
+    if (site.hasLinks) await this.#openLinks();
+    if (site.startsNodes === false) return;
     for (const node of this.nodes) this.startNode(node);
-    await this.#untilReady();
+    await this.untilReady(this.nodes);
+  }
+
+  /** Puts a proxy on each link of each node: to the state service, the cloud and each peer, and from each peer. */
+  async #openLinks() {
+    const local = (port) => () => ({ host: "127.0.0.1", port });
+    for (const node of this.nodes) {
+      node.stateLink = await Link.open("127.0.0.1", local(this.state.port));
+      node.cloudLink = await Link.open("127.0.0.1", local(this.cloud.port));
+      node.peerLinks = new Map();
+      for (const peer of this.nodes) {
+        if (peer === node) continue;
+        const target = () => ({ host: peer.host, port: peer.peerPort });
+        node.peerLinks.set(peer, await Link.open("127.0.0.1", target));
+      }
+    }
+  }
+
+  /** Cuts a node off from the state service, the cloud and all its peers. */
+  cutOff(node) {
+    this.record.line(`${node.name}: cut off from the state service, the cloud and its peers`);
+    node.stateLink.cut();
+    node.cloudLink.cut();
+    for (const link of node.peerLinks.values()) link.cut();
+    for (const peer of this.nodes) if (peer !== node) peer.peerLinks.get(node).cut();
   }
 
   startNode(node) {
@@ -101,19 +128,25 @@
     const { deployment } = this.#site;
     const known = this.nodes
       .filter((peer) => peer !== node)
-      .map((peer) => `[[known]]\nnode = "${peer.name}"\nsite = "${peer.site}"\nendpoint = "${peer.host}:${peer.peerPort}"\n`);
+      .map((peer) => {
+        const endpoint = node.peerLinks?.get(peer).address ?? `${peer.host}:${peer.peerPort}`;
+        return `[[known]]\nnode = "${peer.name}"\nsite = "${peer.site}"\nendpoint = "${endpoint}"\n`;
+      });
+    const cloud = node.cloudLink?.address ?? `127.0.0.1:${this.cloud.port}`;
+    const state = node.stateLink?.address ?? `127.0.0.1:${this.state.port}`;
     return [
       `node = "${node.name}"\nsite = "${node.site}"`,
       `client_listen = "${node.host}:${node.port}"\npeer_bind = "${node.host}:${node.peerPort}"\n`,
       ...known,
-      `[endpoints]\ncloud = "127.0.0.1:${this.cloud.port}"\nstate = "127.0.0.1:${this.state.port}"\n`,
+      `[endpoints]\ncloud = "${cloud}"\nstate = "${state}"\n`,
       deployment,
     ].join("\n");
   }
 
-  async #untilReady() {
+  /** Waits until nodes take requests. */
+  async untilReady(nodes) {
     const deadline = nowMs() + 15_000;
-    for (const node of this.nodes) {
+    for (const node of nodes) {
       while ((await call(node.host, node.port, "GET", "/ready", undefined, 1000))?.status !== 200) {
         if (nowMs() > deadline) throw new Error(`${node.name} is not ready`);
         await sleep(100);
@@ -121,6 +154,13 @@
     }
   }
 
+  /** Changes settings through the administration API of a node. */
+  async changeSettings(node, values) {
+    const answer = await call(node.host, node.port, "PATCH", "/admin/settings", values, USER_TIMEOUT_MS);
+    this.record.line(`operator: ${JSON.stringify(values)} at ${node.name}: ${answer ? answer.status : "no answer"}`);
+    if (answer?.status !== 200) throw new Error(`settings: ${answer?.status}`);
+  }
+
   /** A job as a user submits it; `runMs` is known to the workers only. */
   job(uid, fields, runMs = () => 1000) {
     return {
--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -1,6 +1,7 @@
 // Workers, one per machine, as PROTOCOL describes them, and the gangs that their tasks form.
 import http from "node:http";
-import { call, listen, nowMs, readJson, reply } from "./common.mjs";
+import { call, listen, nowMs, readJson, reply, sleep } from "./common.mjs";
+import { Link } from "./proxy.mjs";
 
 const CHANGE_INTERVAL_MS = 500;
 const ANSWER_TIMEOUT_MS = 4000;
@@ -84,8 +85,8 @@
   shift = 1;
   baton = 0;
   tasks = [];
-  /** Sizes of the reports sent, for the record. */
-  largestReport = 0;
+  /** Nodes that the worker can't reach: what it sends to them is lost. */
+  unreachable = new Set();
   #fleet;
   #images = new Map();
   #renewedAt = nowMs();
@@ -96,15 +97,19 @@
   #isDead = false;
   #connections = new http.Agent({ keepAlive: true, maxSockets: 1 });
 
-  constructor(fleet, { host, ip, rack, yard, loaners = false, cpus, gpus = 0, ramGb, firstNode = 0 }) {
+  constructor(fleet, { host, ip, rack, yard, loaners = false, cpus, gpus = 0, ramGb, firstNode = 0, hasLink = false }) {
     this.#fleet = fleet;
-    Object.assign(this, { host, ip, rack, yard, loaners, cpus, gpus, ramGb });
+    Object.assign(this, { host, ip, rack, yard, loaners, cpus, gpus, ramGb, hasLink });
     this.#nodeIndex = firstNode % fleet.nodes.length;
   }
 
   async start() {
     const { port } = await listen(this.ip, (req, res) => this.#serve(req, res));
     this.address = `${this.ip}:${port}`;
+    if (!this.hasLink) return;
+    // Direct commands come over this link, which can be cut.
+    this.link = await Link.open(this.ip, () => ({ host: this.ip, port }));
+    this.address = this.link.address;
   }
 
   /** Begins to report. */
@@ -235,8 +240,9 @@
     this.#sentAt = sentAt;
     this.#awaitsAnswer = true;
     const text = JSON.stringify(this.#nextReport());
-    this.largestReport = Math.max(this.largestReport, text.length);
-    const answer = await call(node.host, node.port, "POST", "/agent/beat", text, ANSWER_TIMEOUT_MS, this.#connections);
+    const answer = this.unreachable.has(node)
+      ? await sleep(ANSWER_TIMEOUT_MS)
+      : await call(node.host, node.port, "POST", "/agent/beat", text, ANSWER_TIMEOUT_MS, this.#connections);
     this.#awaitsAnswer = false;
     if (this.#isDead) return;
     if (answer?.status === 421) {
