--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -168,8 +168,11 @@
       reply(res, 200, this.#nextReport());
       return;
     }
+    const isRefused = body.baton < this.baton || body.shift !== this.shift;
+    if (body.orders.length === 0 || isRefused)
+      this.#fleet.record.line(`${this.host}: /do with baton ${body.baton}, ${body.orders.length} orders${isRefused ? ": refused" : ""}`);
     if (body.baton === undefined || body.shift === undefined) reply(res, 400, { error: "malformed" });
-    else if (body.baton < this.baton || body.shift !== this.shift) reply(res, 409, this.#nextReport());
+    else if (isRefused) reply(res, 409, this.#nextReport());
     else {
       this.#seeToken(body.baton);
       for (const order of body.orders) this.#execute(order, "/do");
@@ -265,7 +268,12 @@
     this.#schedule(reportS * 1000 * (0.75 + Math.random() / 2));
     this.#checkLease();
     const { baton = -1, orders = [] } = answer.body ?? {};
-    if (shift !== this.shift || baton < this.baton) return;
+    const isDropped = shift !== this.shift || baton < this.baton;
+    record.line(
+      `${this.host}: report of ${this.tasks.length} tasks to ${node.name}: 200, baton ${baton}, ${orders.length} orders` +
+        (isDropped ? ", dropped" : ""),
+    );
+    if (isDropped) return;
     this.#renewedAt = sentAt;
     this.#seeToken(baton);
     for (const order of orders) this.#execute(order, "answer");
@@ -273,6 +281,7 @@
 
   #execute({ verb, piece, try: attempt, windup_s: windupS }, via) {
     const task = this.tasks.find((one) => one.piece === piece && one.try === attempt);
+    if (verb === "stop") this.#fleet.record.line(`${this.host}: stop ${piece} try ${attempt} windup ${windupS} by ${via}`);
     if (verb === "launch" && !task) this.#launch(piece, attempt, via);
     else if (verb === "stop" && task) this.#stop(task, windupS);
     else if (verb === "clear" && task?.phase === "ended") this.tasks.splice(this.tasks.indexOf(task), 1);
