Log what the bound on earlier leaders' replies is derived from, and each leader's own

"elected leader" now has earlier_leaders_reply_ms and what it is derived from (earlier_leaders_bound), "stepped down" has lease_expired_ms and the leader's own grace_period_ms, "placements on machine ended" has, for an expired agent lease, whether the machine is fenced, the age of this leader's last reply, and for how long earlier leaders have not replied any more. At debug, the moment at which all peers have reported the term's token.

--- a/src/core/agents/agent-manager.ts
+++ b/src/core/agents/agent-manager.ts
@@ -203,13 +203,29 @@
     const { now, deployment } = this.#ctx;
     for (const machine of this.#cluster.machines.values()) {
       if (machine.phase === "booting" || machine.isLeaseExpired) continue;
-      if (now >= leaseExpiresAt(machine, this.#lease, deployment.leaseS))
-        this.expireMachine(machine, "agent lease expired");
+      if (now < leaseExpiresAt(machine, this.#lease, deployment.leaseS)) continue;
+      this.expireMachine(machine, "agent lease expired", this.#leaseEvidence(machine));
     }
   }
 
-  /** Ends all placements of a machine on which, for the given reason, no task can be running any more (I3). */
-  expireMachine(machine: Machine, reason: string): void {
+  /** For the log: the times from which the expiry of a machine's agent lease was computed. */
+  #leaseEvidence({ fencedAt, repliedAt }: Machine): Record<string, unknown> {
+    const { now } = this.#ctx;
+    return {
+      fenced: fencedAt !== null,
+      replied_ms_ago: Number.isFinite(repliedAt) ? Math.round(now - repliedAt) : null,
+      earlier_leaders_ended_ms_ago: Math.round(now - this.#lease.earlierLeadersUntil),
+    };
+  }
+
+  /**
+   * Ends all placements of a machine on which, for the given reason, no task can be running any more (I3).
+   *
+   * @param machine The machine.
+   * @param reason The proof, for the log.
+   * @param evidence The facts behind the proof, as further fields of the log line.
+   */
+  expireMachine(machine: Machine, reason: string, evidence: Record<string, unknown> = {}): void {
     machine.isLeaseExpired = true;
     machine.usedByUnknownTasks = NO_RESOURCES;
     const placements = [...machine.placements];
@@ -217,6 +233,7 @@
       machine: machine.name,
       reason,
       tasks: placements.length,
+      ...evidence,
     });
     for (const placement of placements) this.#endPlacement(placement, "lost");
     this.#events.onCapacityChanged();
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -104,7 +104,7 @@
   #electionCallbacks(): ElectionCallbacks {
     return {
       onElected: (lease) => this.#beginTerm(lease),
-      onSteppedDown: (reason) => this.#endTerm(reason),
+      onSteppedDown: () => this.#endTerm(),
       isIsolated: () => this.#peers.isIsolated,
       campaignDelayMs: () => this.#failover.campaignDelayMs(this.leaderName),
       onLeaderKeyRemoved: () => this.#failover.onLeaderKeyRemoved(),
@@ -296,7 +296,6 @@
   }
 
   #beginTerm(lease: LeaderLease): void {
-    this.ctx.log("info", "elected leader", { fencing_token: lease.fencingToken });
     this.#failover.onElected();
     this.leaderTerm = new LeaderTerm(this.ctx, {
       config: this.config,
@@ -308,8 +307,7 @@
     this.#peerHeartbeats.expedite();
   }
 
-  #endTerm(reason: string): void {
-    this.ctx.log("info", "stepped down", { reason });
+  #endTerm(): void {
     this.leaderTerm?.end();
     this.leaderTerm = null;
     this.#peerHeartbeats.expedite();
--- a/src/core/election/earlier-leader-bound.ts
+++ b/src/core/election/earlier-leader-bound.ts
@@ -9,6 +9,15 @@
   readonly repliesUntil: number;
 }
 
+/** What a bound on the replies of earlier leaders is derived from. */
+export type ReplyBoundSource = "no earlier leader" | "own last term" | "settings";
+
+/** The time until which a leader of an earlier term may reply to agents. */
+export interface ReplyBound {
+  readonly until: number;
+  readonly source: ReplyBoundSource;
+}
+
 /**
  * Upper bound on how long leaders of earlier terms may continue to reply to agents. With it, a new leader waits for the
  * expiry of an agent lease renewed by an earlier leader only if there may be one (I3).
@@ -27,18 +36,18 @@
   }
 
   /**
-   * Starts a term with this fencing token. Returns the time until which an earlier leader may reply. The first leader
+   * Starts a term with this fencing token. Returns the bound on the replies of earlier leaders. The first leader
    * of a cluster has no predecessor. If this process also led the previous term (the epoch counts every election, so no
    * other term lies between), its own bound is used. Otherwise the longest grace period after a lease is assumed.
    */
-  beginTerm(fencingToken: number): number {
+  beginTerm(fencingToken: number): ReplyBound {
     this.#acknowledgedBy.clear();
     const { now, settings } = this.#ctx;
-    if (fencingToken === 1) return now;
+    if (fencingToken === 1) return { until: now, source: "no earlier leader" };
     if (this.#ownLastTerm && fencingToken === this.#ownLastTerm.fencingToken + 1)
-      return this.#ownLastTerm.repliesUntil;
+      return { until: this.#ownLastTerm.repliesUntil, source: "own last term" };
     const longestMs = this.#policy.gracePeriodMs + settings.leader_grant_ms;
-    return now + longestMs * CLOCK_DRIFT_FACTOR;
+    return { until: now + longestMs * CLOCK_DRIFT_FACTOR, source: "settings" };
   }
 
   /** Records the term that ends now for the next term of this process. */
@@ -55,7 +64,10 @@
   observePeerToken(lease: LeaderLease, peer: string, fencingToken: number): void {
     if (fencingToken < lease.firstFencingToken || this.#acknowledgedBy.has(peer)) return;
     this.#acknowledgedBy.add(peer);
-    if (this.#ctx.deployment.peers.every((name) => this.#acknowledgedBy.has(name)))
-      lease.earlierLeadersUntil = Math.min(lease.earlierLeadersUntil, this.#ctx.now);
+    if (!this.#ctx.deployment.peers.every((name) => this.#acknowledgedBy.has(name))) return;
+    lease.earlierLeadersUntil = Math.min(lease.earlierLeadersUntil, this.#ctx.now);
+    this.#ctx.log("debug", "every peer has reported this term's fencing token", {
+      fencing_token: lease.fencingToken,
+    });
   }
 }
--- a/src/core/election/election-callbacks.ts
+++ b/src/core/election/election-callbacks.ts
@@ -12,7 +12,7 @@
   /** This node has become the leader. */
   onElected(lease: LeaderLease): void;
   /** This node is no longer the leader. */
-  onSteppedDown(reason: string): void;
+  onSteppedDown(): void;
   /** True while starts under the current token are unacknowledged or unsent: a new token would make them start over. */
   hasUnacknowledgedStarts(): boolean;
   /** How long this node waits for better candidates after the leader key is removed, in milliseconds. */
--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -122,10 +122,21 @@
   stepDown(reason: string): void {
     const { lease } = this;
     if (!lease) return;
+    this.#logSteppedDown(lease, reason);
     this.#earlierLeaders.endTerm(lease);
     this.state = { kind: "follower" };
     this.#campaignAt = this.#ctx.now + STEPPED_DOWN_BACKOFF_MS;
-    this.#callbacks.onSteppedDown(reason);
+    this.#callbacks.onSteppedDown();
+  }
+
+  #logSteppedDown(lease: LeaderLease, reason: string): void {
+    const { now } = this.#ctx;
+    this.#ctx.log("info", "stepped down", {
+      reason,
+      fencing_token: lease.fencingToken,
+      lease_expired_ms: Math.max(0, Math.round(now - lease.validUntil)),
+      grace_period_ms: Math.round(this.#policy.currentGracePeriodMs),
+    });
   }
 
   /** Gives up leadership: revokes the lease so that peers can campaign at once, and backs off from campaigning. */
@@ -193,6 +204,7 @@
   #beginTerm(leadership: AcquiredLeadership): void {
     const { leaseId, fencingToken, record, version } = leadership;
     const { now } = this.#ctx;
+    const replyBound = this.#earlierLeaders.beginTerm(fencingToken);
     const lease: LeaderLease = {
       leaseId,
       fencingToken,
@@ -201,7 +213,7 @@
       epochKeyVersion: version,
       electedAt: now,
       validUntil: leadership.leaseValidUntil,
-      earlierLeadersUntil: this.#earlierLeaders.beginTerm(fencingToken),
+      earlierLeadersUntil: replyBound.until,
     };
     this.state = { kind: "leader", lease };
     this.#keepAliveAt = leadership.leaseRequestedAt;
@@ -209,6 +221,11 @@
     this.#recordTokenSeen(fencingToken);
     this.#config.apply({ key: KEYS.leader, value: record, version });
     this.#config.apply({ key: KEYS.epoch, value: { token: fencingToken }, version });
+    this.#ctx.log("info", "elected leader", {
+      fencing_token: fencingToken,
+      earlier_leaders_reply_ms: Math.max(0, Math.round(replyBound.until - now)),
+      earlier_leaders_bound: replyBound.source,
+    });
     this.#callbacks.onElected(lease);
   }
 
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -127,3 +127,26 @@
     assert.deepEqual(secondProcessOfN1.startCommands("j-1"), []);
   }
 });
+
+test("the log shows how long each leader replies after its lease, for how long the next one expects that, and what the end of an agent lease was computed from", () => {
+  const { harness: previousLeader } = leaderWithRunningTask();
+  previousLeader.storeRule = () => ({ kind: "unavailable", reason: "network partition" });
+  previousLeader.advance(20_000);
+  const steppedDown =
+    previousLeader.logFields.get("stepped down") ?? assert.fail("the leader is still leading");
+
+  assert.equal(steppedDown.grace_period_ms, 6000, "isolated: two lease periods");
+  assert.equal(Number(steppedDown.lease_expired_ms) >= 6000, true);
+
+  const { harness } = newLeaderAwaitingAgent();
+  const elected = harness.logFields.get("elected leader") ?? assert.fail("no leader was elected");
+  assert.ok(Number(elected.earlier_leaders_reply_ms) >= harness.controller.election.gracePeriodMs);
+  assert.equal(elected.earlier_leaders_bound, "settings");
+
+  restartDelayMs(harness);
+  const expired = harness.logFields.get("placements on machine ended") ?? assert.fail("no lease has expired");
+  assert.equal(expired.reason, "agent lease expired");
+  assert.equal(expired.fenced, false);
+  assert.equal(expired.replied_ms_ago, null);
+  assert.ok(Number(expired.earlier_leaders_ended_ms_ago) >= 12_000, "the agent lease");
+});
--- a/test/support/controller-harness.ts
+++ b/test/support/controller-harness.ts
@@ -45,6 +45,8 @@
   readonly cloudCalls: CloudRequest[] = [];
   readonly errorLines: string[] = [];
   readonly logLines: string[] = [];
+  /** The fields of the log lines, by message; the last line of each message. */
+  readonly logFields = new Map<string, Record<string, unknown>>();
   /** The last heartbeat sent to each peer. */
   readonly heartbeats = new Map<string, PeerMessage>();
   /** The nodes that agent heartbeats were forwarded to, in order. */
@@ -261,6 +263,7 @@
       case "log":
         if (effect.level === "error") this.errorLines.push(effect.text);
         this.logLines.push(effect.text);
+        this.logFields.set(effect.text, effect.data);
         break;
       case "forwardHeartbeat":
         this.forwardedTo.push(effect.to);
