A leader counts its lease by the TTL granted, not by the setting of now

What callers saw: after leader_grant_ms had been raised, a leader that lost the store went on with what needs a valid lease (machines created and terminated, permits issued, status "confirmed") while another node already led. Raised to more than four times its value, it renewed too rarely and lost its lease: an election for each such change.

Cause: keep-alives and the expiry of the lease were counted with leader_grant_ms as it is now. The store extends a lease by the TTL with which it was granted at the election.

Fix: the lease holds its TTL (LeaderLease.ttlMs); renewal and expiry use it. This works as the leader and the store now count the same duration, from the request that the store received later.

--- a/src/core/election/campaign.ts
+++ b/src/core/election/campaign.ts
@@ -5,6 +5,7 @@
 
 interface GrantedLease {
   readonly leaseId: number;
+  readonly ttlMs: number;
   /** When the lease was requested. Its TTL starts no earlier than this. */
   readonly leaseRequestedAt: number;
   /** Expiry of the lease by this node's clock. */
@@ -53,6 +54,7 @@
       const { leaseId } = response;
       const lease = {
         leaseId,
+        ttlMs,
         leaseRequestedAt,
         leaseValidUntil: leaseValidUntil(leaseRequestedAt, ttlMs),
       };
--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -202,11 +202,12 @@
   }
 
   #beginTerm(leadership: AcquiredLeadership): void {
-    const { leaseId, fencingToken, record, version } = leadership;
+    const { leaseId, ttlMs, fencingToken, record, version } = leadership;
     const { now } = this.#ctx;
     const replyBound = this.#earlierLeaders.beginTerm(fencingToken);
     const lease: LeaderLease = {
       leaseId,
+      ttlMs,
       fencingToken,
       firstFencingToken: fencingToken,
       leaderKeyVersion: version,
@@ -249,8 +250,7 @@
       else this.stepDown(reason);
       return;
     }
-    const ttlMs = this.#ctx.settings.leader_grant_ms;
-    if (!this.#isKeepAliveInFlight && now - this.#keepAliveAt >= ttlMs / 4) this.#keepAlive(lease, ttlMs);
+    if (!this.#isKeepAliveInFlight && now - this.#keepAliveAt >= lease.ttlMs / 4) this.#keepAlive(lease);
     if (this.#isTokenAdvanceDue()) this.advanceFencingToken();
   }
 
@@ -262,7 +262,7 @@
     );
   }
 
-  #keepAlive(lease: LeaderLease, ttlMs: number): void {
+  #keepAlive(lease: LeaderLease): void {
     const requestedAt = this.#ctx.now;
     this.#isKeepAliveInFlight = true;
     this.#keepAliveAt = requestedAt;
@@ -272,7 +272,7 @@
       (response) => {
         this.#isKeepAliveInFlight = false;
         if (this.lease !== lease) return;
-        if (response.kind === "ok") lease.validUntil = leaseValidUntil(requestedAt, ttlMs);
+        if (response.kind === "ok") lease.validUntil = leaseValidUntil(requestedAt, lease.ttlMs);
         else if (response.kind === "notFound") this.stepDown("the lease expired");
       },
     );
--- a/src/core/model/leader-lease.ts
+++ b/src/core/model/leader-lease.ts
@@ -2,6 +2,8 @@
 export interface LeaderLease {
   /** The lease in the key-value store that the leader key is bound to. */
   readonly leaseId: number;
+  /** TTL with which the store granted the lease. Each keep-alive extends the lease by it, whatever the settings say. */
+  readonly ttlMs: number;
   /** The current fencing token, which the leader advances periodically within its term. */
   fencingToken: number;
   /** The fencing token at the start of the term. */
