A new leader waits for the reply bound on record, not for its own settings

What callers saw: a replica of a prod service ran on two machines (ran_twice).

Cause: until a machine is fenced, a new leader has to assume that the previous one renews its agent's lease, up to the end of that leader's grace period. It took that period from the settings in force at its own election. The previous leader acts on the settings that it last heard of, and one that is cut off can't hear of a change.

Fix: the epoch record, written in the transaction of the election and of each token advance, has replyBoundMs, the TTL and the grace period. The leader keeps to the record: a shorter period by the settings applies at once, a longer one once it is written (the token is advanced for it, a second later or as soon as no start is unacknowledged); if the outcome of a write is unknown, the shorter one applies. The next leader waits for what the record that its own election replaced says. Both now act on one value, which the transaction makes the same for both, whoever has heard of which settings.

By default nobody waits longer: the bound is what it was, TTL and grace period. One put more per change of hold_s.

--- a/src/core/election/campaign.ts
+++ b/src/core/election/campaign.ts
@@ -1,6 +1,7 @@
 import type { Context } from "../context.js";
 import type { ConfigWatch } from "../store/config-watch.js";
-import { KEYS, type LeaderRecord } from "../store/records.js";
+import { type EpochRecord, KEYS, type LeaderRecord } from "../store/records.js";
+import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS, leaseValidUntil } from "./timing.js";
 
 interface GrantedLease {
@@ -15,6 +16,11 @@
 /** The lease and keys that a won campaign wrote to the key-value store. */
 export interface AcquiredLeadership extends GrantedLease {
   readonly fencingToken: number;
+  /** The value written to the epoch key, and the one that it replaced; null if there was none. */
+  readonly epoch: EpochRecord & { readonly replyBoundMs: number };
+  readonly previousEpoch: EpochRecord | null;
+  /** The grace period on which the bound in the epoch record is based, in milliseconds. */
+  readonly announcedGraceMs: number;
   /** The value written to the leader key. */
   readonly record: LeaderRecord;
   /** The version of the leader key and of the epoch key, which are written in one transaction. */
@@ -34,11 +40,13 @@
 export class Campaign {
   readonly #ctx: Context;
   readonly #config: ConfigWatch;
+  readonly #policy: LeaseRenewalPolicy;
   readonly #incarnation: string;
 
-  constructor(ctx: Context, config: ConfigWatch, incarnation: string) {
+  constructor(ctx: Context, config: ConfigWatch, policy: LeaseRenewalPolicy, incarnation: string) {
     this.#ctx = ctx;
     this.#config = config;
+    this.#policy = policy;
     this.#incarnation = incarnation;
   }
 
@@ -67,9 +75,12 @@
     leaderKeyVersion: number,
     onOutcome: (outcome: CampaignOutcome) => void,
   ): void {
-    const { leaseId } = lease;
-    const { epoch } = this.#config;
-    const fencingToken = (epoch?.value ?? 0) + 1;
+    const { leaseId, ttlMs } = lease;
+    const { epoch: previous } = this.#config;
+    const previousEpoch = previous?.value ?? null;
+    const fencingToken = (previousEpoch?.token ?? 0) + 1;
+    const announcedGraceMs = this.#policy.configuredGraceMs(ttlMs);
+    const epoch = { token: fencingToken, replyBoundMs: Math.ceil(ttlMs + announcedGraceMs) };
     const { node } = this.#ctx.deployment;
     const record: LeaderRecord = { node, incarnation: this.#incarnation, token: fencingToken };
     this.#ctx.callStore(
@@ -77,18 +88,19 @@
         kind: "transaction",
         conditions: [
           { key: KEYS.leader, version: leaderKeyVersion },
-          { key: KEYS.epoch, version: epoch?.version ?? 0 },
+          { key: KEYS.epoch, version: previous?.version ?? 0 },
         ],
         changes: [
           { put: KEYS.leader, value: record, leaseId },
-          { put: KEYS.epoch, value: { token: fencingToken } },
+          { put: KEYS.epoch, value: epoch },
         ],
       },
       ELECTION_CALL_TIMEOUT_MS,
       (response) => {
         if (response.kind === "ok") {
           const version = response.revision;
-          onOutcome({ kind: "won", leadership: { ...lease, fencingToken, record, version } });
+          const written = { epoch, previousEpoch, announcedGraceMs, record, version };
+          onOutcome({ kind: "won", leadership: { ...lease, fencingToken, ...written } });
           return;
         }
         // After a timeout the outcome is unknown: the transaction may have been executed, or may still be. Revoking the
--- a/src/core/election/earlier-leader-bound.ts
+++ b/src/core/election/earlier-leader-bound.ts
@@ -1,5 +1,6 @@
 import type { Context } from "../context.js";
 import type { LeaderLease } from "../model/leader-lease.js";
+import type { EpochRecord } from "../store/records.js";
 import { CLOCK_DRIFT_FACTOR, type LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 
 interface LastTerm {
@@ -10,7 +11,7 @@
 }
 
 /** What a bound on the replies of earlier leaders is derived from. */
-export type ReplyBoundSource = "no earlier leader" | "own last term" | "settings";
+export type ReplyBoundSource = "no earlier leader" | "own last term" | "epoch record" | "settings";
 
 /** The time until which a leader of an earlier term may reply to agents. */
 export interface ReplyBound {
@@ -38,15 +39,22 @@
   /**
    * Starts a term with this fencing token. Returns the bound on the replies of earlier leaders. The first leader
    * of a cluster has no predecessor. If this process also led the previous term (the epoch counts every election, so no
-   * other term lies between), its own bound is used. Otherwise the longest grace period after a lease is assumed.
+   * other term lies between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on
+   * record: it may act on settings other than those in force here. The previous version records none.
+   *
+   * @param fencingToken The fencing token of the new term.
+   * @param previous The epoch record that the election has replaced; null if there was none.
    */
-  beginTerm(fencingToken: number): ReplyBound {
+  beginTerm(fencingToken: number, previous: EpochRecord | null): ReplyBound {
     this.#acknowledgedBy.clear();
     const { now, settings } = this.#ctx;
     if (fencingToken === 1) return { until: now, source: "no earlier leader" };
     if (this.#ownLastTerm && fencingToken === this.#ownLastTerm.fencingToken + 1)
       return { until: this.#ownLastTerm.repliesUntil, source: "own last term" };
-    const longestMs = this.#policy.gracePeriodMs + settings.leader_grant_ms;
+    if (previous?.replyBoundMs !== undefined)
+      return { until: now + previous.replyBoundMs * CLOCK_DRIFT_FACTOR, source: "epoch record" };
+    const ttlMs = settings.leader_grant_ms;
+    const longestMs = this.#policy.configuredGraceMs(ttlMs) + ttlMs;
     return { until: now + longestMs * CLOCK_DRIFT_FACTOR, source: "settings" };
   }
 
--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -15,6 +15,8 @@
 const STEPPED_DOWN_BACKOFF_MS = 500;
 const LOST_BACKOFF_MIN_MS = 200;
 const LOST_BACKOFF_MAX_MS = 600;
+/** A changed grace period is put on record no sooner than this after the last advance of the fencing token. */
+const MIN_TOKEN_ADVANCE_INTERVAL_MS = 1000;
 /** Upper bound of the random delay between removal of the leader key and a campaign, which avoids collisions. */
 const CAMPAIGN_JITTER_MS = 150;
 
@@ -50,9 +52,9 @@
     this.#incarnation = incarnation;
     this.#callbacks = callbacks;
     this.#policy = new LeaseRenewalPolicy(ctx, callbacks);
-    this.#campaign = new Campaign(ctx, config, incarnation);
+    this.#campaign = new Campaign(ctx, config, this.#policy, incarnation);
     this.#earlierLeaders = new EarlierLeaderBound(ctx, this.#policy);
-    this.#tokenAdvancer = new FencingTokenAdvancer(ctx, config, {
+    this.#tokenAdvancer = new FencingTokenAdvancer(ctx, config, this.#policy, {
       currentLease: () => this.lease,
       onTokenAdvanced: (token) => this.#recordTokenSeen(token),
       onLeaderKeyReplaced: () => this.stepDown("another leader was elected"),
@@ -70,9 +72,12 @@
     return lease !== null && this.#ctx.now < lease.validUntil;
   }
 
-  /** The maximum time for which a leader continues to reply to heartbeats after its lease has expired. */
+  /**
+   * The maximum time for which this leader continues to reply to heartbeats after its lease has expired; 0 while this
+   * node is not the leader.
+   */
   get gracePeriodMs(): number {
-    return this.#policy.gracePeriodMs;
+    return this.lease ? this.#policy.gracePeriodMs(this.lease) : 0;
   }
 
   /** The maximum wait of a watch request on the job keys. */
@@ -94,7 +99,7 @@
     const { now } = this.#ctx;
     return (
       lease !== null &&
-      now < lease.validUntil + this.#policy.currentGracePeriodMs &&
+      now < lease.validUntil + this.#policy.currentGracePeriodMs(lease) &&
       now < this.#policy.cancellationsFreshUntil
     );
   }
@@ -135,7 +140,7 @@
       reason,
       fencing_token: lease.fencingToken,
       lease_expired_ms: Math.max(0, Math.round(now - lease.validUntil)),
-      grace_period_ms: Math.round(this.#policy.currentGracePeriodMs),
+      grace_period_ms: Math.round(this.#policy.currentGracePeriodMs(lease)),
     });
   }
 
@@ -202,9 +207,9 @@
   }
 
   #beginTerm(leadership: AcquiredLeadership): void {
-    const { leaseId, ttlMs, fencingToken, record, version } = leadership;
+    const { leaseId, ttlMs, fencingToken, record, epoch, version, announcedGraceMs } = leadership;
     const { now } = this.#ctx;
-    const replyBound = this.#earlierLeaders.beginTerm(fencingToken);
+    const replyBound = this.#earlierLeaders.beginTerm(fencingToken, leadership.previousEpoch);
     const lease: LeaderLease = {
       leaseId,
       ttlMs,
@@ -212,6 +217,8 @@
       firstFencingToken: fencingToken,
       leaderKeyVersion: version,
       epochKeyVersion: version,
+      replyBoundMs: epoch.replyBoundMs,
+      announcedGraceMs,
       electedAt: now,
       validUntil: leadership.leaseValidUntil,
       earlierLeadersUntil: replyBound.until,
@@ -221,7 +228,7 @@
     this.#tokenAdvancedAt = now;
     this.#recordTokenSeen(fencingToken);
     this.#config.apply({ key: KEYS.leader, value: record, version });
-    this.#config.apply({ key: KEYS.epoch, value: { token: fencingToken }, version });
+    this.#config.apply({ key: KEYS.epoch, value: epoch, version });
     this.#ctx.log("info", "elected leader", {
       fencing_token: fencingToken,
       earlier_leaders_reply_ms: Math.max(0, Math.round(replyBound.until - now)),
@@ -240,7 +247,7 @@
 
   #tickLeader(lease: LeaderLease): void {
     const { now } = this.#ctx;
-    if (now >= lease.validUntil + this.#policy.currentGracePeriodMs) {
+    if (now >= lease.validUntil + this.#policy.currentGracePeriodMs(lease)) {
       this.stepDown("the grace period after lease expiry has ended");
       return;
     }
@@ -251,7 +258,7 @@
       return;
     }
     if (!this.#isKeepAliveInFlight && now - this.#keepAliveAt >= lease.ttlMs / 4) this.#keepAlive(lease);
-    if (this.#isTokenAdvanceDue()) this.advanceFencingToken();
+    if (this.#isTokenAdvanceDue(lease)) this.advanceFencingToken();
   }
 
   /** True if the records are loaded but the view of cancellations is too old to reply to agents (I1). */
@@ -279,14 +286,17 @@
   }
 
   /**
-   * True once the period has passed. Unacknowledged starts delay the advance by at most one more period, because they
-   * would have to start over under a new token.
+   * True once the period has passed, or earlier if the grace period on record is not the one of the settings.
+   * Unacknowledged starts delay the advance up to the end of a second period, because they would have to start over
+   * under a new token.
    */
-  #isTokenAdvanceDue(): boolean {
+  #isTokenAdvanceDue(lease: LeaderLease): boolean {
     if (this.#tokenAdvancer.isInFlight || !this.hasValidLease) return false;
     const ageMs = this.#ctx.now - this.#tokenAdvancedAt;
     const periodMs = this.#ctx.settings.token_raise_s * 1000;
-    return ageMs >= periodMs && (!this.#callbacks.hasUnacknowledgedStarts() || ageMs >= 2 * periodMs);
+    const isGraceOutdated = this.#policy.configuredGraceMs(lease.ttlMs) !== lease.announcedGraceMs;
+    if (ageMs < (isGraceOutdated ? MIN_TOKEN_ADVANCE_INTERVAL_MS : periodMs)) return false;
+    return !this.#callbacks.hasUnacknowledgedStarts() || ageMs >= 2 * periodMs;
   }
 
   /**
--- a/src/core/election/fencing-token-advancer.ts
+++ b/src/core/election/fencing-token-advancer.ts
@@ -1,8 +1,9 @@
 import type { Context } from "../context.js";
-import type { StoreEntry, StoreResponse } from "../messages/store.js";
+import type { StoreResponse } from "../messages/store.js";
 import type { LeaderLease } from "../model/leader-lease.js";
 import type { ConfigWatch } from "../store/config-watch.js";
-import { KEYS } from "../store/records.js";
+import { type EpochRecord, KEYS, readEpoch } from "../store/records.js";
+import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS } from "./timing.js";
 
 /** Queries and callbacks from {@link FencingTokenAdvancer} to the election. */
@@ -15,19 +16,32 @@
   onLeaderKeyReplaced(): void;
 }
 
+/** What an advance writes to the epoch key, and the grace period on which its bound is based, in milliseconds. */
+interface TokenAdvance {
+  readonly epoch: EpochRecord;
+  readonly graceMs: number;
+}
+
 /**
- * Advances the fencing token within a term. An agent that has seen the new token executes no command sent under the
+ * Advances the fencing token within a term, and with it the recorded bound on this leader's replies. An agent that has seen the new token executes no command sent under the
  * previous one, which makes it safe to acknowledge ended attempts (I6).
  */
 export class FencingTokenAdvancer {
   readonly #ctx: Context;
   readonly #config: ConfigWatch;
+  readonly #policy: LeaseRenewalPolicy;
   readonly #callbacks: FencingTokenAdvancerCallbacks;
   #isInFlight = false;
 
-  constructor(ctx: Context, config: ConfigWatch, callbacks: FencingTokenAdvancerCallbacks) {
+  constructor(
+    ctx: Context,
+    config: ConfigWatch,
+    policy: LeaseRenewalPolicy,
+    callbacks: FencingTokenAdvancerCallbacks,
+  ) {
     this.#ctx = ctx;
     this.#config = config;
+    this.#policy = policy;
     this.#callbacks = callbacks;
   }
 
@@ -39,7 +53,10 @@
   /** Increments the epoch key, conditioned on the leader key. Must not be called while an advance is in flight. */
   advance(lease: LeaderLease): void {
     this.#isInFlight = true;
-    const token = lease.fencingToken + 1;
+    const graceMs = this.#policy.configuredGraceMs(lease.ttlMs);
+    const epoch = { token: lease.fencingToken + 1, replyBoundMs: Math.ceil(lease.ttlMs + graceMs) };
+    // Without a response it is unknown which bound is on record, so the lower one applies.
+    lease.replyBoundMs = Math.min(lease.replyBoundMs, epoch.replyBoundMs);
     this.#ctx.callStore(
       {
         kind: "transaction",
@@ -47,19 +64,20 @@
           { key: KEYS.leader, version: lease.leaderKeyVersion },
           { key: KEYS.epoch, version: lease.epochKeyVersion },
         ],
-        changes: [{ put: KEYS.epoch, value: { token } }],
+        changes: [{ put: KEYS.epoch, value: epoch }],
       },
       ELECTION_CALL_TIMEOUT_MS,
-      (response) => this.#onResponse(lease, token, response),
+      (response) => this.#onResponse(lease, { epoch, graceMs }, response),
     );
   }
 
-  #onResponse(lease: LeaderLease, token: number, response: StoreResponse): void {
+  #onResponse(lease: LeaderLease, advance: TokenAdvance, response: StoreResponse): void {
     if (this.#callbacks.currentLease() !== lease) {
       this.#isInFlight = false;
     } else if (response.kind === "ok") {
       this.#isInFlight = false;
-      this.#apply(lease, token, response.revision);
+      this.#apply(lease, advance.epoch, response.revision);
+      lease.announcedGraceMs = advance.graceMs;
     } else if (response.kind === "unavailable" || response.kind === "throttled") {
       this.#isInFlight = false;
     } else {
@@ -67,11 +85,12 @@
     }
   }
 
-  #apply(lease: LeaderLease, token: number, version: number): void {
-    lease.fencingToken = token;
+  #apply(lease: LeaderLease, epoch: EpochRecord, version: number): void {
+    lease.fencingToken = epoch.token;
     lease.epochKeyVersion = version;
-    this.#callbacks.onTokenAdvanced(token);
-    this.#config.apply({ key: KEYS.epoch, value: { token }, version });
+    lease.replyBoundMs = epoch.replyBoundMs ?? lease.replyBoundMs;
+    this.#callbacks.onTokenAdvanced(epoch.token);
+    this.#config.apply({ key: KEYS.epoch, value: epoch, version });
   }
 
   /**
@@ -84,19 +103,13 @@
       this.#isInFlight = false;
       if (this.#callbacks.currentLease() !== lease || response.kind !== "page") return;
       const leader = response.entries.find((entry) => entry.key === KEYS.leader);
-      const epoch = response.entries.find((entry) => entry.key === KEYS.epoch);
+      const entry = response.entries.find(({ key }) => key === KEYS.epoch);
       if (leader?.version !== lease.leaderKeyVersion) {
         this.#callbacks.onLeaderKeyReplaced();
         return;
       }
-      const token = epoch && storedToken(epoch);
-      if (epoch && token !== undefined && token >= lease.fencingToken)
-        this.#apply(lease, token, epoch.version);
+      const epoch = entry && readEpoch(entry.value);
+      if (epoch && epoch.token >= lease.fencingToken) this.#apply(lease, epoch, entry.version);
     });
   }
 }
-
-function storedToken(epoch: StoreEntry): number | undefined {
-  const token = (epoch.value as { token?: unknown } | undefined)?.token;
-  return typeof token === "number" ? token : undefined;
-}
--- a/src/core/election/lease-renewal-policy.ts
+++ b/src/core/election/lease-renewal-policy.ts
@@ -1,4 +1,5 @@
 import type { Context } from "../context.js";
+import type { LeaderLease } from "../model/leader-lease.js";
 
 /** Clocks may drift apart by 0.05%; waiting times are extended by twice that. */
 export const CLOCK_DRIFT_FACTOR = 1.001;
@@ -34,25 +35,34 @@
   }
 
   /**
-   * How long a leader continues to reply to heartbeats after its lease has expired. Bounded so that a partitioned
-   * leader stops replying, and the agent leases that it renewed expire, before tasks of a cancelled job must end.
+   * The grace period by the settings in force, for a leader lease with this TTL. Bounded so that a partitioned leader
+   * stops replying, and the agent leases that it renewed expire, before tasks of a cancelled job must end.
    */
-  get gracePeriodMs(): number {
+  configuredGraceMs(ttlMs: number): number {
     const { cancelS, leaseS } = this.#ctx.deployment;
-    const { hold_s: configuredS, leader_grant_ms: leaderLeaseMs } = this.#ctx.settings;
-    const boundS = cancelS - leaseS * CLOCK_DRIFT_FACTOR - leaderLeaseMs / 1000 - GRACE_MARGIN_S;
+    const { hold_s: configuredS } = this.#ctx.settings;
+    const boundS = cancelS - leaseS * CLOCK_DRIFT_FACTOR - ttlMs / 1000 - GRACE_MARGIN_S;
     return Math.max(0, Math.min(configuredS, boundS)) * 1000;
   }
 
+  /**
+   * How long a leader continues to reply to heartbeats after its lease has expired. A change of the settings can shorten
+   * it at once. It is extended only once the longer period is on record: the next leader waits for what is on record,
+   * as neither of the two knows the settings in force at the other.
+   */
+  gracePeriodMs({ ttlMs, replyBoundMs }: LeaderLease): number {
+    return Math.max(0, Math.min(this.configuredGraceMs(ttlMs), replyBoundMs - ttlMs));
+  }
+
   /**
    * The grace period under current conditions. A leader that has lost the key-value store and all peers is most likely
    * the partitioned one, so it stops replying early and its agents can follow the leader that the other nodes elect.
    */
-  get currentGracePeriodMs(): number {
-    const { leader_grant_ms: leaderLeaseMs } = this.#ctx.settings;
+  currentGracePeriodMs(lease: LeaderLease): number {
+    const gracePeriodMs = this.gracePeriodMs(lease);
     return this.#inputs.isIsolated()
-      ? Math.min(this.gracePeriodMs, ISOLATED_GRACE_LEASES * leaderLeaseMs)
-      : this.gracePeriodMs;
+      ? Math.min(gracePeriodMs, ISOLATED_GRACE_LEASES * lease.ttlMs)
+      : gracePeriodMs;
   }
 
   /** All cancellations confirmed before this time have been applied; minus infinity until the records are loaded. */
--- a/src/core/model/leader-lease.ts
+++ b/src/core/model/leader-lease.ts
@@ -12,6 +12,13 @@
   readonly leaderKeyVersion: number;
   /** Version of the epoch key as of the last advance of the fencing token. */
   epochKeyVersion: number;
+  /**
+   * For how long after the next election this leader may reply to agents, in milliseconds. Never more than what the
+   * epoch record says, which is what the next leader waits for.
+   */
+  replyBoundMs: number;
+  /** The grace period, in milliseconds, that this leader last put on record. */
+  announcedGraceMs: number;
   readonly electedAt: number;
   /** Expiry of the lease by this node's clock; each keep-alive extends it. */
   validUntil: number;
--- a/src/core/store/config-watch.ts
+++ b/src/core/store/config-watch.ts
@@ -3,6 +3,7 @@
 import type { StoreEntry, StoreResponse, WatchEvent } from "../messages/store.js";
 import type { MachineType } from "../model/deployment.js";
 import {
+  type EpochRecord,
   KEYS,
   type LeaderRecord,
   readEpoch,
@@ -42,8 +43,8 @@
 export class ConfigWatch {
   /** The leader record; null while there is no leader. */
   leader: Versioned<LeaderRecord> | null = null;
-  /** The highest recorded fencing token; null if there is none yet. */
-  epoch: Versioned<number> | null = null;
+  /** The record of the highest fencing token; null if there is none yet. */
+  epoch: Versioned<EpochRecord> | null = null;
   machineTypes: readonly MachineType[] = [];
   machineTypesVersion = 0;
   settingsVersion = 0;
@@ -196,7 +197,7 @@
   #putEpoch({ value, version }: StoreEntry): boolean {
     const record = readEpoch(value);
     if (!record || (this.epoch && this.epoch.version >= version)) return false;
-    this.epoch = { value: record.token, version };
+    this.epoch = { value: record, version };
     return true;
   }
 
--- a/src/core/store/records.ts
+++ b/src/core/store/records.ts
@@ -95,7 +95,11 @@
 });
 
 const leaderRecord = v.object({ node: v.string(), incarnation: v.string(), token: v.number() });
-const epochRecord = v.object({ token: v.number() });
+const epochRecord = v.object({
+  token: v.number(),
+  /** Absent in records of the previous version. A malformed bound is dropped, as the token must stay readable. */
+  replyBoundMs: v.fallback(v.optional(v.pipe(v.number(), v.minValue(0))), undefined),
+});
 const featuresRecord = v.object({ layout: v.number() });
 const modesRecord = v.record(v.string(), v.picklist(["cordon", "drain"]));
 
@@ -130,6 +134,11 @@
 export type ChunkRecord = v.InferOutput<typeof chunkRecord>;
 /** A group of machines that share a record. */
 export type BucketRecord = v.InferOutput<typeof bucketRecord>;
+/**
+ * The latest fencing token. `replyBoundMs` is the promise of the leader that wrote it: after the next election it
+ * replies to agents for at most this long.
+ */
+export type EpochRecord = v.InferOutput<typeof epochRecord>;
 /** The leader, with the incarnation of its process and its fencing token as of its election. */
 export type LeaderRecord = v.InferOutput<typeof leaderRecord>;
 /** The replica migration in progress; `startedAt` is on the monotonic clock of the leader that started it. */
@@ -156,7 +165,7 @@
 export const readBucket = decoder(bucketRecord);
 /** Decodes the leader record. */
 export const readLeader = decoder(leaderRecord);
-/** Decodes the epoch record, which contains the latest fencing token. */
+/** Decodes the epoch record. */
 export const readEpoch = decoder(epochRecord);
 /** Decodes the migration record. */
 export const readMigration = decoder(migrationRecord);
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -141,7 +141,7 @@
   const { harness } = newLeaderAwaitingAgent();
   const elected = harness.logFields.get("elected leader") ?? assert.fail("no leader was elected");
   assert.ok(Number(elected.earlier_leaders_reply_ms) >= harness.controller.election.gracePeriodMs);
-  assert.equal(elected.earlier_leaders_bound, "settings");
+  assert.equal(elected.earlier_leaders_bound, "epoch record");
 
   restartDelayMs(harness);
   const expired = harness.logFields.get("placements on machine ended") ?? assert.fail("no lease has expired");
--- a/test/settings-changes.test.ts
+++ b/test/settings-changes.test.ts
@@ -2,9 +2,13 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ControllerHarness } from "./support/controller-harness.js";
+import type { ControllerHarness } from "./support/controller-harness.js";
 import { leaderWithRunningTask } from "./support/leaders.js";
-import { changeSettings, partitionFromStore } from "./support/partitions.js";
+import { addNode, changeSettings, PartitionedZone, partitionFromStore } from "./support/partitions.js";
+
+function isEpochWrite(change: object): boolean {
+  return "put" in change && change.put === "c/epoch";
+}
 
 function hasValidLease(harness: ControllerHarness): boolean {
   return harness.controller.election.hasValidLease;
@@ -18,8 +22,7 @@
   assert.ok(hasValidLease(leader));
 
   partitionFromStore(leader);
-  const successor = new ControllerHarness("n1", leader.store);
-  successor.now = leader.now;
+  const successor = addNode("n1", leader);
   for (let i = 0; i < 100; i++) {
     leader.advance(100);
     successor.advance(100);
@@ -42,3 +45,76 @@
     assert.equal(leader.controller.election.lease?.firstFencingToken, token, `after ${second + 1} s`);
   }
 });
+
+test("a task is not started elsewhere while the previous leader may renew its agent's lease, although hold_s was lowered in a partition of that leader", () => {
+  // Failure guarded against (ran_twice): the new leader took the previous one's grace period from its own settings.
+  for (const changes of [{ hold_s: 0 }, { hold_s: 0, leader_grant_ms: 1000 }]) {
+    const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 30 });
+    const successor = addNode("n1", zone.leader);
+    zone.advance(3000, [successor]);
+    partitionFromStore(zone.leader);
+    zone.advance(1000, [successor]);
+    changeSettings(successor, changes);
+    zone.advanceUntilLeading(successor);
+
+    const delayMs = zone.restartDelayMs(successor);
+    assert.ok(delayMs >= 0, `${JSON.stringify(changes)}: ${delayMs} ms after the end of the agent's lease`);
+  }
+});
+
+test("a leader acts on a longer grace period only once it is on record", () => {
+  // Failure guarded against (ran_twice): the next leader waits for the shorter grace period, which is on record.
+  for (const isRecorded of [false, true]) {
+    const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 1 });
+    if (!isRecorded) {
+      zone.leader.storeRule = (call) =>
+        call.kind === "transaction" && call.changes.some(isEpochWrite) ? { kind: "throttled" } : null;
+    }
+    const successor = addNode("n1", zone.leader);
+    changeSettings(zone.leader, { hold_s: 15 });
+    zone.advance(5000, [successor]);
+    assert.equal(zone.leader.controller.election.gracePeriodMs, isRecorded ? 15_000 : 1000);
+
+    partitionFromStore(zone.leader);
+    zone.advanceUntilLeading(successor);
+    const delayMs = zone.restartDelayMs(successor);
+    assert.ok(delayMs >= 0, `recorded ${isRecorded}: ${delayMs} ms after the end of the agent's lease`);
+  }
+});
+
+test("a shorter grace period applies at once, and is on record within seconds, so that the next leader waits no longer", () => {
+  const zone = new PartitionedZone({ leader_grant_ms: 3000, hold_s: 30 });
+  const successor = addNode("n1", zone.leader);
+  changeSettings(successor, { hold_s: 2 });
+  zone.advance(5000, [successor]);
+  partitionFromStore(zone.leader);
+  zone.advanceUntilLeading(successor);
+
+  assert.equal(zone.leader.controller.election.gracePeriodMs, 2000);
+  const expectedMs = Number(successor.logFields.get("elected leader")?.earlier_leaders_reply_ms);
+  assert.ok(expectedMs >= 5000 && expectedMs < 5100, `${expectedMs} ms: the TTL and hold_s`);
+});
+
+test("a leader whose shorter grace period may be on record does not act on a longer one again", () => {
+  // Failure guarded against (ran_twice): the write of the shorter one is executed, and its response is lost.
+  const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 15 });
+  const { leader } = zone;
+  const successor = addNode("n1", leader);
+  leader.storeRule = (call) => {
+    if (call.kind !== "transaction" || !call.changes.some(isEpochWrite)) return null;
+    leader.store.run(call, leader.now);
+    leader.storeRule = (laterCall) => (laterCall.kind === "list" ? { kind: "throttled" } : null);
+    return { kind: "timeout" };
+  };
+  changeSettings(leader, { hold_s: 1 });
+  zone.advance(3000, [successor]);
+  leader.storeRule = (call) =>
+    call.kind === "transaction" && call.changes.some(isEpochWrite) ? { kind: "throttled" } : null;
+  changeSettings(leader, { hold_s: 15 });
+  zone.advance(1000, [successor]);
+  partitionFromStore(leader);
+  zone.advanceUntilLeading(successor);
+
+  const delayMs = zone.restartDelayMs(successor);
+  assert.ok(delayMs >= 0, `${delayMs} ms after the end of the agent's lease`);
+});
