A new leader also waits for the leaders before the previous one, as on record

What callers saw: a task on two machines (ran_twice), if leadership changed twice within seconds and operators lowered hold_s or leader_grant_ms meanwhile: the first leader was cut off under the longer grace period, the second recorded a short one and ended (or its process restarted and was elected at once, remembering nothing), and the third waited for the second only.

Cause: the bound of one leader says nothing of those before it. Before the bound was on record, the settings at the election stood for all of them, with the same result.

Fix: the bound that a leader puts on record covers the leaders before it: the greater of its own (TTL and grace period) and of what is left of theirs. At the election that is the bound of the record that it replaces, unchanged; at each advance of the token what is left by then. As every record covers all earlier leaders, the next one needs only the last record. The clock drift is added where a node waits, not on record, so the bound doesn't grow from term to term; the test checks that too.

--- a/src/core/election/campaign.ts
+++ b/src/core/election/campaign.ts
@@ -1,6 +1,7 @@
 import type { Context } from "../context.js";
 import type { ConfigWatch } from "../store/config-watch.js";
 import { type EpochRecord, KEYS, type LeaderRecord } from "../store/records.js";
+import { type EarlierLeaderBound, replyBoundMs } from "./earlier-leader-bound.js";
 import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS, leaseValidUntil } from "./timing.js";
 
@@ -27,6 +28,13 @@
   readonly version: number;
 }
 
+/** The dependencies of {@link Campaign}, and the incarnation of this process. */
+export interface CampaignDependencies {
+  readonly policy: LeaseRenewalPolicy;
+  readonly earlierLeaders: EarlierLeaderBound;
+  readonly incarnation: string;
+}
+
 /** The outcome of a campaign. */
 export type CampaignOutcome =
   | { readonly kind: "won"; readonly leadership: AcquiredLeadership }
@@ -41,13 +49,15 @@
   readonly #ctx: Context;
   readonly #config: ConfigWatch;
   readonly #policy: LeaseRenewalPolicy;
+  readonly #earlierLeaders: EarlierLeaderBound;
   readonly #incarnation: string;
 
-  constructor(ctx: Context, config: ConfigWatch, policy: LeaseRenewalPolicy, incarnation: string) {
+  constructor(ctx: Context, config: ConfigWatch, dependencies: CampaignDependencies) {
     this.#ctx = ctx;
     this.#config = config;
-    this.#policy = policy;
-    this.#incarnation = incarnation;
+    this.#policy = dependencies.policy;
+    this.#earlierLeaders = dependencies.earlierLeaders;
+    this.#incarnation = dependencies.incarnation;
   }
 
   /** Runs a campaign that fails unless the leader key has this version (0: no key). Calls `onOutcome` exactly once. */
@@ -80,7 +90,8 @@
     const previousEpoch = previous?.value ?? null;
     const fencingToken = (previousEpoch?.token ?? 0) + 1;
     const announcedGraceMs = this.#policy.configuredGraceMs(ttlMs);
-    const epoch = { token: fencingToken, replyBoundMs: Math.ceil(ttlMs + announcedGraceMs) };
+    const { durationMs: earlierMs } = this.#earlierLeaders.boundFor(fencingToken, previousEpoch);
+    const epoch = { token: fencingToken, replyBoundMs: replyBoundMs(ttlMs, announcedGraceMs, earlierMs) };
     const { node } = this.#ctx.deployment;
     const record: LeaderRecord = { node, incarnation: this.#incarnation, token: fencingToken };
     this.#ctx.callStore(
--- a/src/core/election/earlier-leader-bound.ts
+++ b/src/core/election/earlier-leader-bound.ts
@@ -13,12 +13,25 @@
 /** What a bound on the replies of earlier leaders is derived from. */
 export type ReplyBoundSource = "no earlier leader" | "own last term" | "epoch record" | "settings";
 
-/** The time until which a leader of an earlier term may reply to agents. */
+/** How long leaders of earlier terms may reply to agents. */
 export interface ReplyBound {
-  readonly until: number;
+  /** The time from now in milliseconds, by the clock of any node: a node that waits for it has to add the clock drift. */
+  readonly durationMs: number;
   readonly source: ReplyBoundSource;
 }
 
+/**
+ * Returns the bound that a leader puts on record for its successors, in milliseconds from the next election: until then
+ * it may reply itself, and so may the leaders before it, whose bound its successor cannot know otherwise.
+ *
+ * @param ttlMs The TTL of its lease.
+ * @param graceMs Its grace period.
+ * @param earlierMs The time from now until which earlier leaders may reply; negative if that is over.
+ */
+export function replyBoundMs(ttlMs: number, graceMs: number, earlierMs: number): number {
+  return Math.ceil(Math.max(ttlMs + graceMs, earlierMs));
+}
+
 /**
  * Upper bound on how long leaders of earlier terms may continue to reply to agents. With it, a new leader waits for the
  * expiry of an agent lease renewed by an earlier leader only if there may be one (I3).
@@ -37,25 +50,32 @@
   }
 
   /**
-   * Starts a term with this fencing token. Returns the bound on the replies of earlier leaders. The first leader
-   * of a cluster has no predecessor. If this process also led the previous term (the epoch counts every election, so no
-   * other term lies between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on
+   * Returns the bound on the replies of earlier leaders for a term that begins now. The first leader of a cluster has no
+   * predecessor. If this process also led the previous term (the epoch counts every election, so no other term lies
+   * between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on
    * record: it may act on settings other than those in force here. The previous version records none.
    *
-   * @param fencingToken The fencing token of the new term.
-   * @param previous The epoch record that the election has replaced; null if there was none.
+   * @param fencingToken The fencing token of the term.
+   * @param previous The epoch record that its election replaces; null if there is none.
    */
-  beginTerm(fencingToken: number, previous: EpochRecord | null): ReplyBound {
-    this.#acknowledgedBy.clear();
+  boundFor(fencingToken: number, previous: EpochRecord | null): ReplyBound {
     const { now, settings } = this.#ctx;
-    if (fencingToken === 1) return { until: now, source: "no earlier leader" };
+    if (fencingToken === 1) return { durationMs: 0, source: "no earlier leader" };
     if (this.#ownLastTerm && fencingToken === this.#ownLastTerm.fencingToken + 1)
-      return { until: this.#ownLastTerm.repliesUntil, source: "own last term" };
+      return { durationMs: Math.max(0, this.#ownLastTerm.repliesUntil - now), source: "own last term" };
     if (previous?.replyBoundMs !== undefined)
-      return { until: now + previous.replyBoundMs * CLOCK_DRIFT_FACTOR, source: "epoch record" };
+      return { durationMs: previous.replyBoundMs, source: "epoch record" };
     const ttlMs = settings.leader_grant_ms;
-    const longestMs = this.#policy.configuredGraceMs(ttlMs) + ttlMs;
-    return { until: now + longestMs * CLOCK_DRIFT_FACTOR, source: "settings" };
+    return { durationMs: this.#policy.configuredGraceMs(ttlMs) + ttlMs, source: "settings" };
+  }
+
+  /**
+   * Starts a term, for which no peer has reported a fencing token yet. Returns the time until which leaders of earlier
+   * terms may reply.
+   */
+  beginTerm({ durationMs }: ReplyBound): number {
+    this.#acknowledgedBy.clear();
+    return this.#ctx.now + durationMs * CLOCK_DRIFT_FACTOR;
   }
 
   /** Records the term that ends now for the next term of this process. */
--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -52,8 +52,12 @@
     this.#incarnation = incarnation;
     this.#callbacks = callbacks;
     this.#policy = new LeaseRenewalPolicy(ctx, callbacks);
-    this.#campaign = new Campaign(ctx, config, this.#policy, incarnation);
     this.#earlierLeaders = new EarlierLeaderBound(ctx, this.#policy);
+    this.#campaign = new Campaign(ctx, config, {
+      policy: this.#policy,
+      earlierLeaders: this.#earlierLeaders,
+      incarnation,
+    });
     this.#tokenAdvancer = new FencingTokenAdvancer(ctx, config, this.#policy, {
       currentLease: () => this.lease,
       onTokenAdvanced: (token) => this.#recordTokenSeen(token),
@@ -209,7 +213,7 @@
   #beginTerm(leadership: AcquiredLeadership): void {
     const { leaseId, ttlMs, fencingToken, record, epoch, version, announcedGraceMs } = leadership;
     const { now } = this.#ctx;
-    const replyBound = this.#earlierLeaders.beginTerm(fencingToken, leadership.previousEpoch);
+    const replyBound = this.#earlierLeaders.boundFor(fencingToken, leadership.previousEpoch);
     const lease: LeaderLease = {
       leaseId,
       ttlMs,
@@ -221,7 +225,7 @@
       announcedGraceMs,
       electedAt: now,
       validUntil: leadership.leaseValidUntil,
-      earlierLeadersUntil: replyBound.until,
+      earlierLeadersUntil: this.#earlierLeaders.beginTerm(replyBound),
     };
     this.state = { kind: "leader", lease };
     this.#keepAliveAt = leadership.leaseRequestedAt;
@@ -231,7 +235,7 @@
     this.#config.apply({ key: KEYS.epoch, value: epoch, version });
     this.#ctx.log("info", "elected leader", {
       fencing_token: fencingToken,
-      earlier_leaders_reply_ms: Math.max(0, Math.round(replyBound.until - now)),
+      earlier_leaders_reply_ms: Math.round(lease.earlierLeadersUntil - now),
       earlier_leaders_bound: replyBound.source,
     });
     this.#callbacks.onElected(lease);
--- a/src/core/election/fencing-token-advancer.ts
+++ b/src/core/election/fencing-token-advancer.ts
@@ -3,6 +3,7 @@
 import type { LeaderLease } from "../model/leader-lease.js";
 import type { ConfigWatch } from "../store/config-watch.js";
 import { type EpochRecord, KEYS, readEpoch } from "../store/records.js";
+import { replyBoundMs } from "./earlier-leader-bound.js";
 import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS } from "./timing.js";
 
@@ -23,7 +24,7 @@
 }
 
 /**
- * Advances the fencing token within a term, and with it the recorded bound on this leader's replies. An agent that has seen the new token executes no command sent under the
+ * Advances the fencing token within a term, and with it the recorded reply bound. An agent that has seen the new token executes no command sent under the
  * previous one, which makes it safe to acknowledge ended attempts (I6).
  */
 export class FencingTokenAdvancer {
@@ -54,7 +55,11 @@
   advance(lease: LeaderLease): void {
     this.#isInFlight = true;
     const graceMs = this.#policy.configuredGraceMs(lease.ttlMs);
-    const epoch = { token: lease.fencingToken + 1, replyBoundMs: Math.ceil(lease.ttlMs + graceMs) };
+    const earlierMs = lease.earlierLeadersUntil - this.#ctx.now;
+    const epoch = {
+      token: lease.fencingToken + 1,
+      replyBoundMs: replyBoundMs(lease.ttlMs, graceMs, earlierMs),
+    };
     // Without a response it is unknown which bound is on record, so the lower one applies.
     lease.replyBoundMs = Math.min(lease.replyBoundMs, epoch.replyBoundMs);
     this.#ctx.callStore(
--- a/src/core/model/leader-lease.ts
+++ b/src/core/model/leader-lease.ts
@@ -13,8 +13,8 @@
   /** Version of the epoch key as of the last advance of the fencing token. */
   epochKeyVersion: number;
   /**
-   * For how long after the next election this leader may reply to agents, in milliseconds. Never more than what the
-   * epoch record says, which is what the next leader waits for.
+   * For how long after the next election this leader or an earlier one may reply to agents, in milliseconds. Never more
+   * than what the epoch record says, which is what the next leader waits for.
    */
   replyBoundMs: number;
   /** The grace period, in milliseconds, that this leader last put on record. */
--- a/src/core/store/records.ts
+++ b/src/core/store/records.ts
@@ -135,8 +135,8 @@
 /** A group of machines that share a record. */
 export type BucketRecord = v.InferOutput<typeof bucketRecord>;
 /**
- * The latest fencing token. `replyBoundMs` is the promise of the leader that wrote it: after the next election it
- * replies to agents for at most this long.
+ * The latest fencing token. After the next election, the leader that wrote the record and all leaders before it reply to
+ * agents for at most `replyBoundMs`.
  */
 export type EpochRecord = v.InferOutput<typeof epochRecord>;
 /** The leader, with the incarnation of its process and its fencing token as of its election. */
--- a/test/settings-changes.test.ts
+++ b/test/settings-changes.test.ts
@@ -10,6 +10,11 @@
   return "put" in change && change.put === "c/epoch";
 }
 
+/** Returns for how long a leader expected replies of earlier leaders at its election, in milliseconds. */
+function expectedReplyMs(leader: ControllerHarness): number {
+  return Number(leader.logFields.get("elected leader")?.earlier_leaders_reply_ms);
+}
+
 function hasValidLease(harness: ControllerHarness): boolean {
   return harness.controller.election.hasValidLease;
 }
@@ -91,7 +96,7 @@
   zone.advanceUntilLeading(successor);
 
   assert.equal(zone.leader.controller.election.gracePeriodMs, 2000);
-  const expectedMs = Number(successor.logFields.get("elected leader")?.earlier_leaders_reply_ms);
+  const expectedMs = expectedReplyMs(successor);
   assert.ok(expectedMs >= 5000 && expectedMs < 5100, `${expectedMs} ms: the TTL and hold_s`);
 });
 
@@ -118,3 +123,26 @@
   const delayMs = zone.restartDelayMs(successor);
   assert.ok(delayMs >= 0, `${delayMs} ms after the end of the agent's lease`);
 });
+
+test("a leader before the previous one is waited for, whatever settings the previous one recorded, and if that was a moment ago", () => {
+  // Failure guarded against (ran_twice): only the bound of the leader that wrote the last epoch record was known.
+  for (const previousTerm of ["ended at once", "restarted at once", "advanced its token"]) {
+    const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 30, token_raise_s: 5 });
+    const previous = addNode("n1", zone.leader);
+    zone.advance(3000, [previous]);
+    partitionFromStore(zone.leader);
+    zone.advance(1000, [previous]);
+    changeSettings(previous, { hold_s: 0, leader_grant_ms: 1000 });
+    zone.advanceUntilLeading(previous);
+    if (previousTerm === "advanced its token") zone.advance(7000, [previous]);
+    const successor = addNode(previousTerm === "restarted at once" ? "n1" : "n2", zone.leader, "second");
+    zone.advanceUntilLeading(successor);
+
+    const delayMs = zone.restartDelayMs(successor);
+    assert.ok(delayMs >= 0, `${previousTerm}: ${delayMs} ms after the end of the agent's lease`);
+    const excessMs = expectedReplyMs(successor) - expectedReplyMs(previous);
+    // The bound does not grow from term to term. An advance of the token puts on record what is left by then.
+    const maxExcessMs = previousTerm === "advanced its token" ? -4000 : 0;
+    assert.ok(excessMs <= maxExcessMs, `${previousTerm}: the successor waits ${excessMs} ms longer`);
+  }
+});
