After a leader that recorded no reply bound, wait for the longest that any may reply

What callers saw: a task on two machines (ran_twice) during a rolling upgrade, if the leader of the previous version was cut off and operators lowered hold_s or leader_grant_ms before a node of this version was elected.

Cause: the version in production writes no bound into the epoch record. For it, the grace period was still taken from the settings in force at the election.

--- a/src/core/election/earlier-leader-bound.ts
+++ b/src/core/election/earlier-leader-bound.ts
@@ -11,7 +11,7 @@
 }
 
 /** What a bound on the replies of earlier leaders is derived from. */
-export type ReplyBoundSource = "no earlier leader" | "own last term" | "epoch record" | "settings";
+export type ReplyBoundSource = "no earlier leader" | "own last term" | "epoch record" | "cancel_s";
 
 /** How long leaders of earlier terms may reply to agents. */
 export interface ReplyBound {
@@ -53,20 +53,20 @@
    * Returns the bound on the replies of earlier leaders for a term that begins now. The first leader of a cluster has no
    * predecessor. If this process also led the previous term (the epoch counts every election, so no other term lies
    * between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on
-   * record: it may act on settings other than those in force here. The previous version records none.
+   * record: it may act on settings other than those in force here. The previous version records none, but no version replies
+   * with a view of cancellations that is older than allowed.
    *
    * @param fencingToken The fencing token of the term.
    * @param previous The epoch record that its election replaces; null if there is none.
    */
   boundFor(fencingToken: number, previous: EpochRecord | null): ReplyBound {
-    const { now, settings } = this.#ctx;
+    const { now } = this.#ctx;
     if (fencingToken === 1) return { durationMs: 0, source: "no earlier leader" };
     if (this.#ownLastTerm && fencingToken === this.#ownLastTerm.fencingToken + 1)
       return { durationMs: Math.max(0, this.#ownLastTerm.repliesUntil - now), source: "own last term" };
     if (previous?.replyBoundMs !== undefined)
       return { durationMs: previous.replyBoundMs, source: "epoch record" };
-    const ttlMs = settings.leader_grant_ms;
-    return { durationMs: this.#policy.configuredGraceMs(ttlMs) + ttlMs, source: "settings" };
+    return { durationMs: this.#policy.stalenessBoundMs, source: "cancel_s" };
   }
 
   /**
--- a/src/core/election/lease-renewal-policy.ts
+++ b/src/core/election/lease-renewal-policy.ts
@@ -76,11 +76,14 @@
    * succeed while the watch hangs.
    */
   get cancellationsFreshUntil(): number {
-    return this.cancellationsKnownThrough + this.#stalenessBoundMs;
+    return this.cancellationsKnownThrough + this.stalenessBoundMs;
   }
 
-  /** What remains of `cancelS` after an agent lease. The minimum lets a leader reply even if almost nothing remains. */
-  get #stalenessBoundMs(): number {
+  /**
+   * For how long a leader may use a view of cancellations, whatever the operator settings: what remains of `cancelS`
+   * after an agent lease. The minimum lets a leader reply even if almost nothing remains.
+   */
+  get stalenessBoundMs(): number {
     const { cancelS, leaseS } = this.#ctx.deployment;
     const boundMs = ((cancelS - leaseS * CLOCK_DRIFT_FACTOR) * 1000 - CANCEL_MARGIN_MS) / CLOCK_DRIFT_FACTOR;
     return Math.max(MIN_STALENESS_BOUND_MS, boundMs);
@@ -92,6 +95,6 @@
    * would resign.
    */
   get watchWaitMs(): number {
-    return Math.min(MAX_WATCH_WAIT_MS, this.#stalenessBoundMs / 4);
+    return Math.min(MAX_WATCH_WAIT_MS, this.stalenessBoundMs / 4);
   }
 }
--- a/test/settings-changes.test.ts
+++ b/test/settings-changes.test.ts
@@ -10,6 +10,12 @@
   return "put" in change && change.put === "c/epoch";
 }
 
+/** Replaces the epoch record by one as the previous version writes it, without a bound. */
+function writeEpochAsProduction({ controller, store, now }: ControllerHarness): void {
+  const token = controller.election.lease?.fencingToken;
+  store.run({ kind: "transaction", conditions: [], changes: [{ put: "c/epoch", value: { token } }] }, now);
+}
+
 /** Returns for how long a leader expected replies of earlier leaders at its election, in milliseconds. */
 function expectedReplyMs(leader: ControllerHarness): number {
   return Number(leader.logFields.get("elected leader")?.earlier_leaders_reply_ms);
@@ -146,3 +152,19 @@
     assert.ok(excessMs <= maxExcessMs, `${previousTerm}: the successor waits ${excessMs} ms longer`);
   }
 });
+
+test("a previous leader of the previous version, which records no bound, is waited for whatever the settings are now", () => {
+  // Failure guarded against (ran_twice): its grace period was taken from the settings in force at the election.
+  const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 30 });
+  const successor = addNode("n1", zone.leader);
+  zone.advance(3000, [successor]);
+  writeEpochAsProduction(zone.leader);
+  partitionFromStore(zone.leader);
+  changeSettings(successor, { hold_s: 0, leader_grant_ms: 1000 });
+  zone.advanceUntilLeading(successor);
+
+  const delayMs = zone.restartDelayMs(successor);
+  assert.ok(delayMs >= 0, `${delayMs} ms after the end of the agent's lease`);
+  // No leader renews agents' leases later than `cancel_s` allows, 40 s with an agent lease of 12 s.
+  assert.ok(expectedReplyMs(successor) < 28_000, `${expectedReplyMs(successor)} ms`);
+});
