A late confirmation of an election doesn't count once a higher token was reported

A node whose lease was granted and whose election was confirmed so slowly that another node had been elected meanwhile (responses of up to 900 ms each, with leader_grant_ms 1000) took itself for the leader, and answered an agent under its older token.

Cause: the new leader waits no longer for earlier leaders once every peer has reported a token of its term. That relies on a node replying to no agent under an older token than it has reported. Election checked this for a leader, but not for a campaign in progress: between the campaign and its confirmation the node reports what it has seen, as a follower does.

Fix: if a higher token than the one won has been seen by the time of the confirmation, the campaign is lost, and the lease is revoked. What a node has reported is thereby never above the token under which it replies.

--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -152,7 +152,7 @@
   resign(reason: string): void {
     const { lease } = this;
     if (!lease) return;
-    this.#ctx.callStore({ kind: "revokeLease", leaseId: lease.leaseId }, ELECTION_CALL_TIMEOUT_MS, () => {});
+    this.#revokeLease(lease.leaseId);
     this.stepDown(reason);
     this.#campaignAt = this.#ctx.now + RESIGNED_BACKOFF_MS;
   }
@@ -206,8 +206,21 @@
   }
 
   #onCampaignOver(outcome: CampaignOutcome): void {
-    if (outcome.kind === "won") this.#beginTerm(outcome.leadership);
-    else this.#onCampaignLost(outcome.reason);
+    if (outcome.kind === "lost") {
+      this.#onCampaignLost(outcome.reason);
+      return;
+    }
+    const { fencingToken, leaseId } = outcome.leadership;
+    // The response took so long that another node has been elected since. This node may have reported that node's token,
+    // which promises that it replies to no agent under an older one.
+    if (fencingToken < this.highestTokenSeen) {
+      this.#revokeLease(leaseId);
+      this.#onCampaignLost("a higher fencing token was observed");
+    } else this.#beginTerm(outcome.leadership);
+  }
+
+  #revokeLease(leaseId: number): void {
+    this.#ctx.callStore({ kind: "revokeLease", leaseId }, ELECTION_CALL_TIMEOUT_MS, () => {});
   }
 
   #beginTerm(leadership: AcquiredLeadership): void {
