Permits of an earlier leader expire by the clock of the node that holds them

What callers saw: nothing measurable; with fair admission, for up to 2 ms after a failover a permit could be issued again while the node that held it from the earlier leader could still spend it, so a job more than the limit was accepted.

Cause: a permit's TTL is counted by the clock of the node, which may differ by 0.05%. The leader allows for that in leases that it issues itself, but not in what a node may hold from an earlier leader (A2).

Evidence: the new test failed before: 5 permits issued to another node 4002 ms after the report, expected 0.

Fix: one function gives the expiry in both cases, with drift and margin. No rule of the protocol depends on it.

--- a/src/admission/permit-issuer.ts
+++ b/src/admission/permit-issuer.ts
@@ -92,7 +92,7 @@
     if (known?.report.incarnation === report.incarnation)
       this.#bucket -= known.onReport(report, this.fencingToken, now);
     // The previous incarnation has ended: it spends no more permits, and the jobs that it accepted have records.
-    else this.#holders.set(node, new PermitHolder(report, now, now + LEASE_TTL_MS));
+    else this.#holders.set(node, new PermitHolder(report, now, expiresAt(now)));
   }
 
   /**
@@ -177,13 +177,17 @@
 
   #issueLease(holder: PermitHolder, permits: readonly TeamPermits[], now: number): PermitLease {
     const id = this.#nextLeaseId++;
-    const expiresAt = now + LEASE_TTL_MS * DRIFT_FACTOR + EXPIRY_MARGIN_MS;
-    holder.issue(id, new Map(permits.map(({ team, count }) => [team, count])), expiresAt);
+    holder.issue(id, new Map(permits.map(({ team, count }) => [team, count])), expiresAt(now));
     const { sequence } = holder.report;
     return { fencingToken: this.fencingToken, id, reportSequence: sequence, ttlMs: LEASE_TTL_MS, permits };
   }
 }
 
+/** Returns when all permits that a node may hold now have expired, also by the clock of that node. */
+function expiresAt(now: number): number {
+  return now + LEASE_TTL_MS * DRIFT_FACTOR + EXPIRY_MARGIN_MS;
+}
+
 /**
  * Returns the part of a team's allocation that goes to one node. Its expected rate is proportional to its share of
  * the demand.
--- a/test/permit-leases.test.ts
+++ b/test/permit-leases.test.ts
@@ -3,6 +3,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import type { AdmissionReport } from "../src/admission/messages.js";
+import { PermitIssuer } from "../src/admission/permit-issuer.js";
 import { randomInt, seededRandom } from "../src/core/random.js";
 import { AdmissionCluster, availablePermits, RED_ONLY } from "./support/admission-cluster.js";
 import { deployment, NODES } from "./support/deployment.js";
@@ -336,3 +338,32 @@
     { numRuns: 150, seed: 20_261_202 },
   );
 });
+
+test("a new leader counts the permits of an earlier leader until they have expired by the clock of the node that holds them", () => {
+  // Failure guarded against: a permit spent by two nodes, as the node's clock may be 0.05% slower than the leader's (A2).
+  const policy = {
+    ratePerS: 1000,
+    burst: 1000,
+    maxOpenJobs: 5,
+    teams: [{ name: "red", weight: 1, minimumRatePerS: 1 }],
+  };
+  const reportOf = (incarnation: string, sequence: number, held: number): AdmissionReport => ({
+    incarnation,
+    sequence,
+    acknowledgedLease: 1,
+    acknowledgedToken: 1,
+    teams: [{ team: "red", peakDemand: 5, held, reserved: 0, spent: 0 }],
+    newReservations: [],
+    redeemedReservations: [],
+  });
+  const issuer = new PermitIssuer(2, policy, 0);
+  issuer.onReport("n1", reportOf("n1-1", 1, 5), 0);
+  const permitsOfN2At = (now: number): number => {
+    issuer.onReport("n2", reportOf("n2-1", now, 0), now);
+    const lease = issuer.issue({ policy, openJobs: new Map(), nodeCount: 3, now }).get("n2");
+    return lease?.permits[0]?.count ?? 0;
+  };
+
+  assert.equal(permitsOfN2At(4002), 0, "by the clock of n1, its permits are valid until then");
+  assert.ok(permitsOfN2At(4100) > 0);
+});
