A gang that is done has no negative number of pending tasks

A gang that had waited long held back the rest of its team's quota, started, and its first task was reported as done; for the moment until its other task was reported, the team's other jobs got the quota of that task again.

Cause: a gang is done as a whole when its first task is, while placements of the others are left. Tasks less done less placed is then negative, and the reservation for the pending tasks (reservedQuota) added a negative amount to what the team uses. Known from the review as read, not brought about.

Fix: the number is 0 at least, which is exact for a gang: all of its tasks are done, or none.

--- a/src/core/model/job.ts
+++ b/src/core/model/job.ts
@@ -93,9 +93,9 @@
 
   /** The number of tasks that may be placed now; 0 while dependencies are not satisfied. */
   get pendingCount(): number {
-    return this.state === "active" && this.dependenciesSatisfied
-      ? this.spec.tasks - this.doneCount - this.placements.size
-      : 0;
+    if (this.state !== "active" || !this.dependenciesSatisfied) return 0;
+    // The tasks of a gang are done together, while placements of some of them may not have been reported as ended.
+    return Math.max(0, this.spec.tasks - this.doneCount - this.placements.size);
   }
 
   /** True once all tasks are done. */
