--- a/src/core/election/campaign.ts
+++ b/src/core/election/campaign.ts
@@ -2,6 +2,7 @@
 import type { ConfigWatch } from "../store/config-watch.js";
 import { type EpochRecord, KEYS, type LeaderRecord } from "../store/records.js";
 import { type EarlierLeaderBound, replyBoundMs } from "./earlier-leader-bound.js";
+import type { LeaseKeeper } from "./lease-keeper.js";
 import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS, leaseValidUntil } from "./timing.js";
 
@@ -32,6 +33,7 @@
 export interface CampaignDependencies {
   readonly policy: LeaseRenewalPolicy;
   readonly earlierLeaders: EarlierLeaderBound;
+  readonly leaseKeeper: LeaseKeeper;
   readonly incarnation: string;
 }
 
@@ -50,6 +52,7 @@
   readonly #config: ConfigWatch;
   readonly #policy: LeaseRenewalPolicy;
   readonly #earlierLeaders: EarlierLeaderBound;
+  readonly #leaseKeeper: LeaseKeeper;
   readonly #incarnation: string;
 
   constructor(ctx: Context, config: ConfigWatch, dependencies: CampaignDependencies) {
@@ -57,6 +60,7 @@
     this.#config = config;
     this.#policy = dependencies.policy;
     this.#earlierLeaders = dependencies.earlierLeaders;
+    this.#leaseKeeper = dependencies.leaseKeeper;
     this.#incarnation = dependencies.incarnation;
   }
 
@@ -116,7 +120,7 @@
         }
         // After a timeout the outcome is unknown: the transaction may have been executed, or may still be. Revoking the
         // lease also removes the leader key, and a late execution then fails because the lease no longer exists.
-        this.#ctx.callStore({ kind: "revokeLease", leaseId }, ELECTION_CALL_TIMEOUT_MS, () => {});
+        this.#leaseKeeper.revoke(leaseId);
         onOutcome({ kind: "lost", reason: response.kind });
       },
     );
--- a/src/core/election/earlier-leader-bound.ts
+++ b/src/core/election/earlier-leader-bound.ts
@@ -50,11 +50,11 @@
   }
 
   /**
-   * Returns the bound on the replies of earlier leaders for a term that begins now. The first leader of a cluster has no
-   * predecessor. If this process also led the previous term (the epoch counts every election, so no other term lies
-   * between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on
-   * record: it may act on settings other than those in force here. The previous version records none, but no version replies
-   * with a view of cancellations that is older than allowed.
+   * Returns the bound on the replies of earlier leaders for a term that begins now. The first leader of a cluster has
+   * no predecessor. If this process also led the previous term (the epoch counts every election, so no other term lies
+   * between), its own bound is used. Otherwise the bound is the one that the earlier leader has put on record, as it
+   * may act on settings other than those in force here. The previous version records none, but no version replies with
+   * a view of cancellations that is older than allowed.
    *
    * @param fencingToken The fencing token of the term.
    * @param previous The epoch record that its election replaces; null if there is none.
--- a/src/core/election/election.ts
+++ b/src/core/election/election.ts
@@ -7,16 +7,14 @@
 import { EarlierLeaderBound } from "./earlier-leader-bound.js";
 import type { ElectionCallbacks, ElectionState } from "./election-callbacks.js";
 import { FencingTokenAdvancer } from "./fencing-token-advancer.js";
+import { LeaseKeeper } from "./lease-keeper.js";
 import { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
-import { ELECTION_CALL_TIMEOUT_MS, leaseValidUntil } from "./timing.js";
 
 /** How long a node waits after resigning before it campaigns again, so that leadership does not flap. */
 const RESIGNED_BACKOFF_MS = 20_000;
 const STEPPED_DOWN_BACKOFF_MS = 500;
 const LOST_BACKOFF_MIN_MS = 200;
 const LOST_BACKOFF_MAX_MS = 600;
-/** A changed grace period is put on record no sooner than this after the last advance of the fencing token. */
-const MIN_TOKEN_ADVANCE_INTERVAL_MS = 1000;
 /** Upper bound of the random delay between removal of the leader key and a campaign, which avoids collisions. */
 const CAMPAIGN_JITTER_MS = 150;
 
@@ -33,6 +31,7 @@
   readonly #callbacks: ElectionCallbacks;
   readonly #incarnation: string;
   readonly #policy: LeaseRenewalPolicy;
+  readonly #leaseKeeper: LeaseKeeper;
   readonly #campaign: Campaign;
   readonly #tokenAdvancer: FencingTokenAdvancer;
   readonly #earlierLeaders: EarlierLeaderBound;
@@ -42,9 +41,6 @@
   highestTokenSeen = 0;
   /** No campaign begins before this time. */
   #campaignAt = 0;
-  #isKeepAliveInFlight = false;
-  #keepAliveAt = 0;
-  #tokenAdvancedAt = 0;
 
   constructor(ctx: Context, config: ConfigWatch, incarnation: string, callbacks: ElectionCallbacks) {
     this.#ctx = ctx;
@@ -53,13 +49,19 @@
     this.#callbacks = callbacks;
     this.#policy = new LeaseRenewalPolicy(ctx, callbacks);
     this.#earlierLeaders = new EarlierLeaderBound(ctx, this.#policy);
+    this.#leaseKeeper = new LeaseKeeper(ctx, {
+      currentLease: () => this.lease,
+      onLeaseLost: () => this.stepDown("the lease expired"),
+    });
     this.#campaign = new Campaign(ctx, config, {
       policy: this.#policy,
       earlierLeaders: this.#earlierLeaders,
+      leaseKeeper: this.#leaseKeeper,
       incarnation,
     });
     this.#tokenAdvancer = new FencingTokenAdvancer(ctx, config, this.#policy, {
       currentLease: () => this.lease,
+      hasUnacknowledgedStarts: () => callbacks.hasUnacknowledgedStarts(),
       onTokenAdvanced: (token) => this.#recordTokenSeen(token),
       onLeaderKeyReplaced: () => this.stepDown("another leader was elected"),
     });
@@ -152,7 +154,7 @@
   resign(reason: string): void {
     const { lease } = this;
     if (!lease) return;
-    this.#revokeLease(lease.leaseId);
+    this.#leaseKeeper.revoke(lease.leaseId);
     this.stepDown(reason);
     this.#campaignAt = this.#ctx.now + RESIGNED_BACKOFF_MS;
   }
@@ -214,15 +216,11 @@
     // The response took so long that another node has been elected since. This node may have reported that node's token,
     // which promises that it replies to no agent under an older one.
     if (fencingToken < this.highestTokenSeen) {
-      this.#revokeLease(leaseId);
+      this.#leaseKeeper.revoke(leaseId);
       this.#onCampaignLost("a higher fencing token was observed");
     } else this.#beginTerm(outcome.leadership);
   }
 
-  #revokeLease(leaseId: number): void {
-    this.#ctx.callStore({ kind: "revokeLease", leaseId }, ELECTION_CALL_TIMEOUT_MS, () => {});
-  }
-
   #beginTerm(leadership: AcquiredLeadership): void {
     const { leaseId, ttlMs, fencingToken, record, epoch, version, announcedGraceMs } = leadership;
     const { now } = this.#ctx;
@@ -241,8 +239,8 @@
       earlierLeadersUntil: this.#earlierLeaders.beginTerm(replyBound),
     };
     this.state = { kind: "leader", lease };
-    this.#keepAliveAt = leadership.leaseRequestedAt;
-    this.#tokenAdvancedAt = now;
+    this.#leaseKeeper.beginTerm(leadership.leaseRequestedAt);
+    this.#tokenAdvancer.beginTerm();
     this.#recordTokenSeen(fencingToken);
     this.#config.apply({ key: KEYS.leader, value: record, version });
     this.#config.apply({ key: KEYS.epoch, value: epoch, version });
@@ -274,8 +272,8 @@
       else this.stepDown(reason);
       return;
     }
-    if (!this.#isKeepAliveInFlight && now - this.#keepAliveAt >= lease.ttlMs / 4) this.#keepAlive(lease);
-    if (this.#isTokenAdvanceDue(lease)) this.advanceFencingToken();
+    this.#leaseKeeper.renewIfDue(lease);
+    this.#tokenAdvancer.advanceIfDue(lease);
   }
 
   /** True if the records are loaded but the view of cancellations is too old to reply to agents (I1). */
@@ -286,44 +284,11 @@
     );
   }
 
-  #keepAlive(lease: LeaderLease): void {
-    const requestedAt = this.#ctx.now;
-    this.#isKeepAliveInFlight = true;
-    this.#keepAliveAt = requestedAt;
-    this.#ctx.callStore(
-      { kind: "renewLease", leaseId: lease.leaseId },
-      ELECTION_CALL_TIMEOUT_MS,
-      (response) => {
-        this.#isKeepAliveInFlight = false;
-        if (this.lease !== lease) return;
-        if (response.kind === "ok") lease.validUntil = leaseValidUntil(requestedAt, lease.ttlMs);
-        else if (response.kind === "notFound") this.stepDown("the lease expired");
-      },
-    );
-  }
-
-  /**
-   * True once the period has passed, or earlier if the grace period on record is not the one of the settings.
-   * Unacknowledged starts delay the advance up to the end of a second period, because they would have to start over
-   * under a new token.
-   */
-  #isTokenAdvanceDue(lease: LeaderLease): boolean {
-    if (this.#tokenAdvancer.isInFlight || !this.hasValidLease) return false;
-    const ageMs = this.#ctx.now - this.#tokenAdvancedAt;
-    const periodMs = this.#ctx.settings.token_raise_s * 1000;
-    const isGraceOutdated = this.#policy.configuredGraceMs(lease.ttlMs) !== lease.announcedGraceMs;
-    if (ageMs < (isGraceOutdated ? MIN_TOKEN_ADVANCE_INTERVAL_MS : periodMs)) return false;
-    return !this.#callbacks.hasUnacknowledgedStarts() || ageMs >= 2 * periodMs;
-  }
-
   /**
    * Advances the fencing token within the term, unless the lease has expired or an advance is in flight. An agent that
    * has seen the new token no longer executes commands sent under the previous one.
    */
   advanceFencingToken(): void {
-    const { lease } = this;
-    if (!lease || this.#tokenAdvancer.isInFlight || !this.hasValidLease) return;
-    this.#tokenAdvancedAt = this.#ctx.now;
-    this.#tokenAdvancer.advance(lease);
+    if (this.lease) this.#tokenAdvancer.advance(this.lease);
   }
 }
--- a/src/core/election/fencing-token-advancer.ts
+++ b/src/core/election/fencing-token-advancer.ts
@@ -7,12 +7,17 @@
 import type { LeaseRenewalPolicy } from "./lease-renewal-policy.js";
 import { ELECTION_CALL_TIMEOUT_MS } from "./timing.js";
 
+/** A changed grace period is put on record no sooner than this after the last advance. */
+const MIN_ADVANCE_INTERVAL_MS = 1000;
+
 /** Queries and callbacks from {@link FencingTokenAdvancer} to the election. */
 export interface FencingTokenAdvancerCallbacks {
   /** The lease of the current term; null while this node is not the leader. */
   currentLease(): LeaderLease | null;
   /** The fencing token of the lease was advanced to this value. */
   onTokenAdvanced(fencingToken: number): void;
+  /** True while starts under the current token are unacknowledged or unsent: a new token would make them start over. */
+  hasUnacknowledgedStarts(): boolean;
   /** The leader key is no longer that of this term: another node has been elected. */
   onLeaderKeyReplaced(): void;
 }
@@ -33,6 +38,8 @@
   readonly #policy: LeaseRenewalPolicy;
   readonly #callbacks: FencingTokenAdvancerCallbacks;
   #isInFlight = false;
+  /** When the last advance was requested, or when the term began. */
+  #advancedAt = 0;
 
   constructor(
     ctx: Context,
@@ -51,9 +58,33 @@
     return this.#isInFlight;
   }
 
-  /** Increments the epoch key, conditioned on the leader key. Must not be called while an advance is in flight. */
+  /** Starts a term, which has a new fencing token. */
+  beginTerm(): void {
+    this.#advancedAt = this.#ctx.now;
+  }
+
+  /**
+   * Advances the token once the period has passed, or earlier if the grace period on record is not the one of the
+   * settings. Unacknowledged starts delay the advance up to the end of a second period, because they would have to start
+   * over under a new token.
+   */
+  advanceIfDue(lease: LeaderLease): void {
+    if (!this.#mayAdvance(lease)) return;
+    const ageMs = this.#ctx.now - this.#advancedAt;
+    const periodMs = this.#ctx.settings.token_raise_s * 1000;
+    const isGraceOutdated = this.#policy.configuredGraceMs(lease.ttlMs) !== lease.announcedGraceMs;
+    if (ageMs < (isGraceOutdated ? MIN_ADVANCE_INTERVAL_MS : periodMs)) return;
+    if (ageMs >= 2 * periodMs || !this.#callbacks.hasUnacknowledgedStarts()) this.advance(lease);
+  }
+
+  /**
+   * Increments the epoch key, conditioned on the leader key, unless the leader lease has expired or an advance is in
+   * flight.
+   */
   advance(lease: LeaderLease): void {
+    if (!this.#mayAdvance(lease)) return;
     this.#isInFlight = true;
+    this.#advancedAt = this.#ctx.now;
     const graceMs = this.#policy.configuredGraceMs(lease.ttlMs);
     const earlierMs = lease.earlierLeadersUntil - this.#ctx.now;
     const epoch = {
@@ -76,6 +107,10 @@
     );
   }
 
+  #mayAdvance(lease: LeaderLease): boolean {
+    return !this.#isInFlight && this.#ctx.now < lease.validUntil;
+  }
+
   #onResponse(lease: LeaderLease, advance: TokenAdvance, response: StoreResponse): void {
     if (this.#callbacks.currentLease() !== lease) {
       this.#isInFlight = false;
