--- a/src/core/election/fencing-token-advancer.ts
+++ b/src/core/election/fencing-token-advancer.ts
@@ -29,8 +29,8 @@
 }
 
 /**
- * Advances the fencing token within a term, and with it the recorded reply bound. An agent that has seen the new token executes no command sent under the
- * previous one, which makes it safe to acknowledge ended attempts (I6).
+ * Advances the fencing token within a term, and with it the recorded reply bound. An agent that has seen the new token
+ * executes no command sent under the previous one, which makes it safe to acknowledge ended attempts (I6).
  */
 export class FencingTokenAdvancer {
   readonly #ctx: Context;
--- a/src/core/store/feature-gate.ts
+++ b/src/core/store/feature-gate.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Decides when to start writing records in this version's layout: once all nodes announce this version's
- * protocol at the same time, or once lower store limits show that the upgrade is complete. The decision is stored and irreversible,
+ * Decides when to start writing records in this version's layout: once all nodes announce this version's protocol at the
+ * same time, or once lower store limits show that the upgrade is complete. The decision is stored and irreversible,
  * because the previous version cannot read records written after it.
  */
 export class FeatureGate {
