A service's failures are forgotten when a replica fails that had run for a minute

What callers saw: replicas of a service left waiting for more than a minute beside free machines, with the pending reason "it failed and is tried again later", though the service had run well for long.

Cause: a job that fails on machine after machine is backed off, twice as long each time. The count was reset only when a task was done, and no task of a service ever is.

Fix: if a replica fails after it has run for as long as the longest backoff, the job's earlier failures no longer count.

--- a/src/core/agents/failure-tracking.ts
+++ b/src/core/agents/failure-tracking.ts
@@ -5,6 +5,8 @@
 const JOB_BACKOFF_MS = 2000;
 const JOB_BACKOFF_MAX_MS = 60_000;
 const JOB_BACKOFF_MAX_DOUBLINGS = 10;
+/** A replica that ran for this long started well: what failed before it is no longer a reason for backoff. */
+const STABLE_RUN_MS = JOB_BACKOFF_MAX_MS;
 /** A job that has failed on this many machines is put into backoff. */
 const JOB_BACKOFF_MIN_MACHINES = 2;
 /** A machine on which this many jobs have failed is considered faulty. */
@@ -18,9 +20,15 @@
 /**
  * Counts a failed task for its job and its machine. Most failures are caused by the machine, so a machine on which
  * different jobs fail is drained. A job that fails on several machines is itself likely to be faulty; exponential
- * backoff keeps it from delaying other jobs.
+ * backoff keeps it from delaying other jobs. Failures of a job are forgotten when one of its tasks is done or, as no task
+ * of a service ever is, when a replica fails that had run for long.
  */
-export function recordFailure(ctx: Context, { job, machine }: Placement): void {
+export function recordFailure(ctx: Context, placement: Placement): void {
+  const { job, machine } = placement;
+  if (isStableReplica(placement, ctx.now)) {
+    job.failures = 0;
+    job.failedMachines.clear();
+  }
   job.failures++;
   job.failedMachines.add(machine.index);
   machine.failures++;
@@ -33,3 +41,7 @@
   const doublings = Math.min(JOB_BACKOFF_MAX_DOUBLINGS, job.failures - JOB_BACKOFF_MIN_MACHINES);
   job.backoffUntil = ctx.now + Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** doublings);
 }
+
+function isStableReplica({ job, runningSince }: Placement, now: number): boolean {
+  return job.spec.shape === "service" && runningSince !== null && now - runningSince >= STABLE_RUN_MS;
+}
