--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -75,7 +75,11 @@
   assert.equal(leaderWithBlue.submit(jobSpec("j-1", { team: "blue" }))?.kind, "accepted");
 
   const teams = leaderWithBlue.controller.ctx.deployment.teams.filter(({ name }) => name !== "blue");
-  const leaderWithoutBlue = new ControllerHarness("n0", store, "n0-2", { teams }, 0, true);
+  const leaderWithoutBlue = new ControllerHarness("n0", store, {
+    incarnation: "n0-2",
+    settings: { teams },
+    admission: true,
+  });
   leaderWithoutBlue.now = leaderWithBlue.now + 5000;
   store.expire(leaderWithoutBlue.now);
   leaderWithoutBlue.becomeLeader();
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -109,10 +109,10 @@
   // and renew the agent lease of A (I3).
   const { harness: previousLeader } = leaderWithRunningTask();
   previousLeader.store.expire(previousLeader.now + 60_000);
-  const firstProcessOfN1 = new ControllerHarness("n1", previousLeader.store, "n1-1");
+  const firstProcessOfN1 = new ControllerHarness("n1", previousLeader.store);
   firstProcessOfN1.now = previousLeader.now + 60_000;
   firstProcessOfN1.becomeLeader();
-  const secondProcessOfN1 = new ControllerHarness("n1", previousLeader.store, "n1-2");
+  const secondProcessOfN1 = new ControllerHarness("n1", previousLeader.store, { incarnation: "n1-2" });
   secondProcessOfN1.now = firstProcessOfN1.now + 100;
   secondProcessOfN1.becomeLeader();
 
--- a/test/job-lookup.test.ts
+++ b/test/job-lookup.test.ts
@@ -74,9 +74,8 @@
 });
 
 test("the compare-only transactions for polls of dependent jobs stay within the store's limit of conditions per transaction", () => {
-  const harness = new ControllerHarness("n0", new FakeStore(), "n0-1", {
-    txnOps: 4,
-    nextStoreLimits: null,
+  const harness = new ControllerHarness("n0", new FakeStore(), {
+    settings: { txnOps: 4, nextStoreLimits: null },
   }).becomeLeader();
   for (let i = 1; i <= 30; i++)
     harness.submit(jobSpec(`j-${i}`, i > 1 ? { awaits: [`j-${i - 1}`, ...(i > 2 ? ["j-1"] : [])] } : {}));
--- a/test/lease-renewal-policy.test.ts
+++ b/test/lease-renewal-policy.test.ts
@@ -53,9 +53,8 @@
   // Failure found in a run with real processes: between two watch responses, the leader's view of cancellations became
   // older than the staleness bound.
   for (const cancelS of [40, 10, 8, 5]) {
-    const harness = new ControllerHarness("n0", new FakeStore(), "n0-1", {
-      leaseS: 4,
-      cancelS,
+    const harness = new ControllerHarness("n0", new FakeStore(), {
+      settings: { leaseS: 4, cancelS },
     }).becomeLeader();
     const token = harness.controller.election.lease?.firstFencingToken;
     for (let i = 0; i < 60; i++) {
--- a/test/round-robin-turns.test.ts
+++ b/test/round-robin-turns.test.ts
@@ -108,7 +108,7 @@
 
   assert.equal(startedTasks(), 0, "the small jobs are placed first for a while");
 
-  const nextLeader = new ControllerHarness("n1", store, "n1-1", {}, 0, true);
+  const nextLeader = new ControllerHarness("n1", store, { admission: true });
   nextLeader.now = firstLeader.now + 5000;
   store.expire(nextLeader.now);
   nextLeader.becomeLeader();
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -82,7 +82,7 @@
 /** Returns a leader of 1,000 machines with 100 tasks each. */
 function leaderOfLargeFleet(): { harness: ControllerHarness; fleet: AgentFleet } {
   const teams = [{ name: "red", guarantee: UNLIMITED, limit: UNLIMITED }];
-  const harness = new ControllerHarness("n0", new FakeStore(), "n0-1", { teams }).becomeLeader();
+  const harness = new ControllerHarness("n0", new FakeStore(), { settings: { teams } }).becomeLeader();
   const names = Array.from({ length: MACHINE_COUNT }, (_, i) => `M${i}`);
   const fleet = new AgentFleet(
     harness,
@@ -244,7 +244,7 @@
   const tasksByMachine = [...fleet.tasksByMachine];
   leader.store.expire(leader.now + 60_000);
   const teams = [{ name: "red", guarantee: UNLIMITED, limit: UNLIMITED }];
-  const nextLeader = new ControllerHarness("n1", leader.store, "n1-1", { teams });
+  const nextLeader = new ControllerHarness("n1", leader.store, { settings: { teams } });
   nextLeader.now = leader.now + 60_000;
   nextLeader.becomeLeader();
 
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -33,7 +33,7 @@
 } {
   const store = new FakeStore();
   const leader = new ControllerHarness("n0", store).becomeLeader();
-  const follower = new ControllerHarness("n1", store, "n1-1", {}, standbyBytes);
+  const follower = new ControllerHarness("n1", store, { standbyBytes });
   follower.now = leader.now;
   const advanceBoth = (ms: number) => {
     for (let passed = 0; passed < ms; passed += 100) {
@@ -268,7 +268,7 @@
       0,
     );
   const leader = new ControllerHarness("n0", store).becomeLeader();
-  const follower = new ControllerHarness("n1", store, "n1-1", {}, 3000);
+  const follower = new ControllerHarness("n1", store, { standbyBytes: 3000 });
   follower.now = leader.now;
   for (let passed = 0; passed < 6000; passed += 100) {
     leader.advance(100);
@@ -324,7 +324,7 @@
 test("while a peer is a warm standby, other nodes defer their campaign, but only briefly", () => {
   const store = new FakeStore();
   const leader = new ControllerHarness("n0", store).becomeLeader();
-  const otherNode = new ControllerHarness("n2", store, "n2-1", {}, MAX_STANDBY_BYTES);
+  const otherNode = new ControllerHarness("n2", store, { standbyBytes: MAX_STANDBY_BYTES });
   otherNode.now = leader.now;
   otherNode.advance(1000);
   const peerHeartbeat = {
--- a/test/store-limits.test.ts
+++ b/test/store-limits.test.ts
@@ -23,12 +23,8 @@
  * collects the transactions that the store rejects as invalid.
  */
 function leaderWithoutPeers(hasNextLimits: boolean): { harness: ControllerHarness; refused: string[] } {
-  const harness = new ControllerHarness(
-    "n0",
-    new FakeStore(),
-    "n0-1",
-    hasNextLimits ? {} : { nextStoreLimits: null },
-  ).becomeLeader();
+  const settings = hasNextLimits ? {} : { nextStoreLimits: null };
+  const harness = new ControllerHarness("n0", new FakeStore(), { settings }).becomeLeader();
   const refused: string[] = [];
   harness.storeRule = (call: StoreRequest) => {
     if (call.kind !== "transaction") return null;
@@ -167,7 +163,9 @@
 test("a job with long lists is refused under the smaller value limit, and those stored earlier can still be cancelled and completed", () => {
   const types = ["small", ...Array.from({ length: 300 }, (_, i) => `another-type-${i}`)];
   const store = new FakeStore();
-  const previousLeader = new ControllerHarness("n0", store, "n0-1", { nextStoreLimits: null }).becomeLeader();
+  const previousLeader = new ControllerHarness("n0", store, {
+    settings: { nextStoreLimits: null },
+  }).becomeLeader();
   previousLeader.sendHeartbeat("A");
 
   for (const uid of ["j-1", "j-2"])
--- a/test/stored-chunks.test.ts
+++ b/test/stored-chunks.test.ts
@@ -57,7 +57,7 @@
 test("the chunks of a job never become larger again, whatever limits a later leader has", () => {
   const store = new FakeStore();
   const leaderWithLimit = (valueBytes: number, node: string, now: number) => {
-    const harness = new ControllerHarness(node, store, `${node}-1`, { valueBytes, nextStoreLimits: null });
+    const harness = new ControllerHarness(node, store, { settings: { valueBytes, nextStoreLimits: null } });
     harness.now = now;
     harness.becomeLeader();
     receiveFromBothPeers(harness);
--- a/test/support/controller-harness.ts
+++ b/test/support/controller-harness.ts
@@ -34,6 +34,18 @@
   readonly machine: string;
 }
 
+/** Options of a {@link ControllerHarness}. */
+export interface HarnessOptions {
+  /** The incarnation of the process; `NODE-1` by default. */
+  readonly incarnation?: string;
+  /** Settings that differ from those of the small deployment. */
+  readonly settings?: Partial<Deployment>;
+  /** The size limit of the standby cache in bytes; the standby is off by default. */
+  readonly standbyBytes?: number;
+  /** True to enable fair admission. */
+  readonly admission?: boolean;
+}
+
 /** Runs one controller with a fake clock, store and cloud. Agents and peers only send what the test sends for them. */
 export class ControllerHarness {
   now = 1000;
@@ -65,14 +77,8 @@
   readonly #agentReplies = new Map<number, HeartbeatReply>();
   readonly #adminResponses = new Map<number, AdminResponse>();
 
-  constructor(
-    node = "n0",
-    store = new FakeStore(),
-    incarnation = `${node}-1`,
-    settings: Partial<Deployment> = {},
-    standbyBytes = 0,
-    admission = false,
-  ) {
+  constructor(node = "n0", store = new FakeStore(), options: HarnessOptions = {}) {
+    const { incarnation = `${node}-1`, settings = {}, standbyBytes = 0, admission = false } = options;
     this.store = store;
     this.#admission = admission;
     const identity = { incarnation, seed: 7, epochMs: 1_000_000, standbyBytes, admission };
@@ -88,9 +94,8 @@
     objectives: Deployment["objectives"],
     settings: Partial<Deployment> = {},
   ): ControllerHarness {
-    return new ControllerHarness("n0", new FakeStore(), "n0-1", {
-      objectives,
-      ...settings,
+    return new ControllerHarness("n0", new FakeStore(), {
+      settings: { objectives, ...settings },
     }).becomeLeader();
   }
 
--- a/test/support/fair-admission.ts
+++ b/test/support/fair-admission.ts
@@ -5,5 +5,5 @@
 
 /** Creates a leader with fair admission enabled. */
 export function leaderWithFairAdmission(store = new FakeStore()): ControllerHarness {
-  return new ControllerHarness("n0", store, "n0-1", {}, 0, true).becomeLeader();
+  return new ControllerHarness("n0", store, { admission: true }).becomeLeader();
 }
--- a/test/support/partitions.ts
+++ b/test/support/partitions.ts
@@ -21,7 +21,7 @@
 
 /** Creates a node on the store and at the time of another one. It does not run until its clock is advanced. */
 export function addNode(node: string, other: ControllerHarness, process = "first"): ControllerHarness {
-  const harness = new ControllerHarness(node, other.store, `${node}-${process}`);
+  const harness = new ControllerHarness(node, other.store, { incarnation: `${node}-${process}` });
   harness.now = other.now;
   harness.cloudRule = () => ({ kind: "unavailable", reason: "down" });
   return harness;
