An unanswered write of a shorter reply bound counts until a later one is confirmed

A task could run on two machines (ran_twice) if hold_s was lowered, the write of the shorter bound got no answer and was executed late, hold_s was raised again meanwhile, and the leader was then cut off.

Cause: after a write without an answer the leader reads the keys. If they didn't show the write, it applied the record as read, and with it the longer bound, though the write could still be executed.

Evidence: the new test failed before, "-3600 ms after the end of the agent's lease".

Fix: only a higher token on record proves which write was executed; until then, or until a later advance is confirmed, the lower bound stays. So that it doesn't stay for a whole token period, an advance is also due if the settings allow more than the bound allows; a second test, which failed before too (grace period 1000 ms, expected 15,000), shows that.

--- a/src/core/election/fencing-token-advancer.ts
+++ b/src/core/election/fencing-token-advancer.ts
@@ -72,8 +72,7 @@
     if (!this.#mayAdvance(lease)) return;
     const ageMs = this.#ctx.now - this.#advancedAt;
     const periodMs = this.#ctx.settings.token_raise_s * 1000;
-    const isGraceOutdated = this.#policy.configuredGraceMs(lease.ttlMs) !== lease.announcedGraceMs;
-    if (ageMs < (isGraceOutdated ? MIN_ADVANCE_INTERVAL_MS : periodMs)) return;
+    if (ageMs < (this.#isGraceOutdated(lease) ? MIN_ADVANCE_INTERVAL_MS : periodMs)) return;
     if (ageMs >= 2 * periodMs || !this.#callbacks.hasUnacknowledgedStarts()) this.advance(lease);
   }
 
@@ -107,6 +106,12 @@
     );
   }
 
+  /** True if the grace period of the settings is not the one on record, or may not be, as a write was not confirmed. */
+  #isGraceOutdated({ ttlMs, announcedGraceMs, replyBoundMs: recordedMs }: LeaderLease): boolean {
+    const graceMs = this.#policy.configuredGraceMs(ttlMs);
+    return graceMs !== announcedGraceMs || ttlMs + graceMs > recordedMs;
+  }
+
   #mayAdvance(lease: LeaderLease): boolean {
     return !this.#isInFlight && this.#ctx.now < lease.validUntil;
   }
@@ -149,7 +154,8 @@
         return;
       }
       const epoch = entry && readEpoch(entry.value);
-      if (epoch && epoch.token >= lease.fencingToken) this.#apply(lease, epoch, entry.version);
+      // If it was not executed yet, it may still be: the lower bound stays until a later advance is confirmed.
+      if (epoch && epoch.token > lease.fencingToken) this.#apply(lease, epoch, entry.version);
     });
   }
 }
--- a/test/settings-changes.test.ts
+++ b/test/settings-changes.test.ts
@@ -2,8 +2,9 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { TransactionRequest } from "../src/core/messages/store.js";
 import type { ControllerHarness } from "./support/controller-harness.js";
-import { leaderWithRunningTask } from "./support/leaders.js";
+import { leaderWithRunningTask, onlyElement } from "./support/leaders.js";
 import { addNode, changeSettings, PartitionedZone, partitionFromStore } from "./support/partitions.js";
 
 function isEpochWrite(change: object): boolean {
@@ -130,6 +131,43 @@
   assert.ok(delayMs >= 0, `${delayMs} ms after the end of the agent's lease`);
 });
 
+test("a leader whose write of a shorter grace period may still be executed does not act on a longer one again", () => {
+  // Failure guarded against (ran_twice): a read that did not show the write yet counted as proof that it had failed.
+  const zone = new PartitionedZone({ leader_grant_ms: 9000, hold_s: 15 });
+  const { leader } = zone;
+  const successor = addNode("n1", leader);
+  const lateWrites: TransactionRequest[] = [];
+  leader.storeRule = (call) => {
+    if (call.kind !== "transaction" || !call.changes.some(isEpochWrite)) return null;
+    lateWrites.push(call);
+    leader.storeRule = null;
+    return { kind: "timeout" };
+  };
+  changeSettings(leader, { hold_s: 1 });
+  zone.advance(250, [successor]);
+  changeSettings(leader, { hold_s: 15 });
+  assert.equal(leader.store.run(onlyElement(lateWrites), leader.now).kind, "ok");
+  partitionFromStore(leader);
+  zone.advanceUntilLeading(successor);
+
+  const delayMs = zone.restartDelayMs(successor);
+  assert.ok(delayMs >= 0, `${delayMs} ms after the end of the agent's lease`);
+});
+
+test("a longer grace period is on record within seconds again after a write of a shorter one was refused", () => {
+  const zone = new PartitionedZone({ leader_grant_ms: 3000, hold_s: 15 });
+  const { leader } = zone;
+  leader.storeRule = (call) =>
+    call.kind === "transaction" && call.changes.some(isEpochWrite) ? { kind: "throttled" } : null;
+  changeSettings(leader, { hold_s: 1 });
+  zone.advance(500, []);
+  changeSettings(leader, { hold_s: 15 });
+  leader.storeRule = null;
+  zone.advance(3000, []);
+
+  assert.equal(leader.controller.election.gracePeriodMs, 15_000);
+});
+
 test("a leader before the previous one is waited for, whatever settings the previous one recorded, and if that was a moment ago", () => {
   // Failure guarded against (ran_twice): only the bound of the leader that wrote the last epoch record was known.
   for (const previousTerm of ["ended at once", "restarted at once", "advanced its token"]) {
