Show why no task may be placed on a machine, what failed on it, and why tasks are stopped

Change: status field `excluded` of each machine, metric machines_excluded by reason, and at debug the lines "machine schedulability changed", "task failed" (on how many machines the job and how many jobs on the machine have failed) and "job backed off". "faulty machine drained" names the jobs. "stopping task" is logged for every stop, not for graceful ones only.

--- a/src/core/agents/agent-manager.ts
+++ b/src/core/agents/agent-manager.ts
@@ -156,6 +156,7 @@
    * placement whose start was never sent ends immediately (I2), whether or not it is recorded in the store.
    */
   stopTask(placement: Placement, graceS: number, reason: string): void {
+    if (!placement.stop) this.#logStop(placement, reason);
     if (placement.startSentUnder === 0 && this.#isOfThisTerm(placement)) {
       this.#cluster.removePlacement(placement, this.#ctx.now);
       this.#recordWriter.markDirty(placement.job, placement.task, false);
@@ -173,6 +174,10 @@
     this.queueCommands(placement.machine);
   }
 
+  #logStop({ job, task, machine }: Placement, reason: string): void {
+    this.#ctx.log("debug", "stopping task", { job: job.uid, task, machine: machine.name, reason });
+  }
+
   #isOfThisTerm({ attempt }: Placement): boolean {
     return fencingTokenOf(attempt) >= this.#lease.firstFencingToken;
   }
--- a/src/core/agents/failure-tracking.ts
+++ b/src/core/agents/failure-tracking.ts
@@ -33,13 +33,33 @@
   job.failedMachines.add(machine.index);
   machine.failures++;
   machine.failedJobs.add(job.index);
+  logFailure(ctx, placement);
   if (isFaulty(machine) && machine.mode === "open") {
     machine.mode = "drain";
-    ctx.log("info", "faulty machine drained", { machine: machine.name, failures: machine.failures });
+    ctx.log("info", "faulty machine drained", {
+      machine: machine.name,
+      failures: machine.failures,
+      failed_jobs: [...machine.failedJobs].map((index) => ctx.names.jobs.nameOf(index)),
+    });
   }
   if (job.failedMachines.size < JOB_BACKOFF_MIN_MACHINES) return;
   const doublings = Math.min(JOB_BACKOFF_MAX_DOUBLINGS, job.failures - JOB_BACKOFF_MIN_MACHINES);
-  job.backoffUntil = ctx.now + Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** doublings);
+  const backoffMs = Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** doublings);
+  job.backoffUntil = ctx.now + backoffMs;
+  ctx.log("debug", "job backed off", { job: job.uid, failures: job.failures, backoff_ms: backoffMs });
+}
+
+/** Logs how widely the job fails and how many jobs fail on the machine: this tells which of the two is at fault. */
+function logFailure(ctx: Context, { job, task, machine, runningSince }: Placement): void {
+  ctx.log("debug", "task failed", {
+    job: job.uid,
+    task,
+    machine: machine.name,
+    ran_ms: runningSince === null ? null : Math.round(ctx.now - runningSince),
+    job_failed_machines: job.failedMachines.size,
+    job_done: job.doneCount,
+    machine_failed_jobs: machine.failedJobs.size,
+  });
 }
 
 function isStableReplica({ job, runningSince }: Placement, now: number): boolean {
--- a/src/core/leader-status.ts
+++ b/src/core/leader-status.ts
@@ -1,6 +1,7 @@
 import type { LeaderTerm } from "./leader-term.js";
 import type { ClusterState } from "./model/cluster-state.js";
 import type { Machine } from "./model/machine.js";
+import type { FeasibleMachines } from "./scheduling/feasible-machines.js";
 
 /** Returns the part of the status page that only a leader has. Operators' tools depend on the field names. */
 export function leaderStatus(
@@ -12,7 +13,9 @@
   return {
     token: leaderTerm.lease.fencingToken,
     confirmed: hasValidLease,
-    machines: [...cluster.machines.values()].map(machineStatus),
+    machines: [...cluster.machines.values()].map((machine) =>
+      machineStatus(machine, scheduler.feasibleMachines),
+    ),
     jobs: cluster.jobs.size,
     queue: queueStatus(cluster),
     awaiting: awaitingStatus(leaderTerm),
@@ -25,7 +28,7 @@
   };
 }
 
-function machineStatus(machine: Machine): Record<string, unknown> {
+function machineStatus(machine: Machine, feasibleMachines: FeasibleMachines): Record<string, unknown> {
   return {
     name: machine.name,
     type: machine.typeName,
@@ -33,6 +36,7 @@
     spot: machine.spot,
     phase: machine.isLeaseExpired ? "lost" : machine.phase,
     mode: machine.mode,
+    excluded: feasibleMachines.exclusionReasonOf(machine),
     tasks: machine.placements.size,
     share: Math.round(machine.allocatedCpuShare() * 1000) / 1000,
   };
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -108,6 +108,8 @@
   commandRetryAt = 0;
   /** After a failed termination request to the cloud, none is sent before this time. */
   terminationRetryAt = 0;
+  /** Why no task could be placed here as of the last round, as logged; null if tasks could be placed. */
+  loggedExclusion: string | null = null;
   /** Why the machine is marked for termination. */
   terminationReason: string | null = null;
 
--- a/src/core/scheduling/feasible-machines.ts
+++ b/src/core/scheduling/feasible-machines.ts
@@ -3,6 +3,7 @@
 import type { Job } from "../model/job.js";
 import { fitsMachineType, type Machine } from "../model/machine.js";
 import type { Resources } from "../model/resources.js";
+import { type ExclusionReason, exclusionReasonOf } from "./exclusion-reasons.js";
 import type { GpuHeadroomGuard } from "./gpu-headroom-guard.js";
 
 /** Restricts a search to some of the feasible machines. */
@@ -46,13 +47,25 @@
     }
     const leastNeed = { cpu, gpu: 0, ram };
     for (const machine of this.#clusterState.machines.values()) {
-      if (!this.isSchedulable(machine)) continue;
+      const reason = this.exclusionReasonOf(machine);
+      this.#logExclusionChange(machine, reason);
+      if (reason !== null) continue;
       getOrCreateList(this.#schedulableByType, machine.typeName).push(machine);
       if (machine.hasCapacityFor(leastNeed))
         getOrCreateList(this.#withCapacityByType, machine.typeName).push(machine);
     }
   }
 
+  #logExclusionChange(machine: Machine, reason: ExclusionReason | null): void {
+    if (machine.loggedExclusion === reason) return;
+    this.#ctx.log("debug", "machine schedulability changed", {
+      machine: machine.name,
+      excluded: reason,
+      was_excluded: machine.loggedExclusion,
+    });
+    machine.loggedExclusion = reason;
+  }
+
   /** True if the job's constraints (types, zone, spot) allow this machine, regardless of free capacity. */
   mayRunOn(job: Job, machine: Machine): boolean {
     const { types, zone, spot } = job.spec;
@@ -63,21 +76,14 @@
     );
   }
 
-  /** True if tasks may be placed here: the machine must send heartbeats and be reachable for commands (I7). */
+  /** Returns why no task may be placed on the machine, or null if tasks may be placed. */
+  exclusionReasonOf(machine: Machine): ExclusionReason | null {
+    return exclusionReasonOf(this.#ctx, machine);
+  }
+
+  /** True if tasks may be placed on the machine. */
   isSchedulable(machine: Machine): boolean {
-    const { now, deployment } = this.#ctx;
-    return (
-      machine.phase === "up" &&
-      !machine.isLeaseExpired &&
-      machine.mode === "open" &&
-      machine.type !== null &&
-      // A heartbeat without this term's fencing token may be a delayed copy and does not prove presence (I4).
-      machine.fencedAt !== null &&
-      machine.unreachableSince === null &&
-      machine.reclaimDueAt === null &&
-      machine.backoffUntil <= now &&
-      now - machine.heartbeatAt < deployment.heartbeatIntervalS * 2500 + 500
-    );
+    return exclusionReasonOf(this.#ctx, machine) === null;
   }
 
   /**
--- a/src/core/scheduling/preemption.ts
+++ b/src/core/scheduling/preemption.ts
@@ -116,12 +116,6 @@
   /** Stops a task, allowing time for a checkpoint if it writes any. A gang is stopped as a whole. */
   stopGracefully(placement: Placement, reason: string): void {
     const { job } = placement;
-    this.#ctx.log("debug", "stopping task", {
-      job: job.uid,
-      task: placement.task,
-      machine: placement.machine.name,
-      reason,
-    });
     const graceS = job.spec.checkpointS > 0 ? Math.ceil(job.spec.saveS) + 1 : 0;
     const stopped = job.spec.shape === "gang" ? [...job.placements.values()] : [placement];
     for (const member of stopped) this.#agents.stopTask(member, graceS, reason);
--- a/src/shell/metrics.ts
+++ b/src/shell/metrics.ts
@@ -1,6 +1,7 @@
 import type { AdmissionStatus, TeamStatus } from "../admission/admission.js";
 import type { Controller } from "../core/controller.js";
 import type { LeaderTerm } from "../core/leader-term.js";
+import type { ExclusionReason } from "../core/scheduling/exclusion-reasons.js";
 import type { MetricsPage } from "./request-handler.js";
 
 type PromClient = typeof import("prom-client");
@@ -29,19 +30,15 @@
     new this.#library.Gauge({ name: `hillspindle_${name}`, help, registers: [this.registry] }).set(value);
   }
 
-  setPerTeam(
-    name: string,
-    help: string,
-    teams: readonly TeamStatus[],
-    toValue: (team: TeamStatus) => number,
-  ): void {
+  /** Sets one gauge with a value for each value of its label. */
+  setLabelled(name: string, help: string, label: string, values: Iterable<readonly [string, number]>): void {
     const gauge = new this.#library.Gauge({
       name: `hillspindle_${name}`,
       help,
-      labelNames: ["team"],
+      labelNames: [label],
       registers: [this.registry],
     });
-    for (const team of teams) gauge.set({ team: team.name }, toValue(team));
+    for (const [labelValue, value] of values) gauge.set({ [label]: labelValue }, value);
   }
 }
 
@@ -103,7 +100,8 @@
   const { teams } = admission;
   gauges.set("admission_by_slice", "1 while the leader's permits decide", admission.mode === "slice" ? 1 : 0);
   const setPerTeam = (name: string, help: string, toValue: (team: TeamStatus) => number) => {
-    gauges.setPerTeam(`admission_${name}`, help, teams, toValue);
+    const values = teams.map((team) => [team.name, toValue(team)] as const);
+    gauges.setLabelled(`admission_${name}`, help, "team", values);
   };
   setPerTeam("admitted_total", "Submissions accepted by this node", ({ admitted }) => admitted);
   setPerTeam("refused_total", "Submissions answered 429", ({ refused }) => refused);
@@ -166,10 +164,25 @@
     "Machines that report but do not hear",
     machines.filter(({ unreachableSince }) => unreachableSince !== null).length,
   );
+  gauges.setLabelled(
+    "machines_excluded",
+    "Machines on which no task may be placed, by reason",
+    "reason",
+    countByExclusionReason(term),
+  );
   gauges.set("moves_total", "Moves begun in this term", term.migrator.startedMigrations);
   gauges.set("unwritten", "Records that wait to be written", term.recordWriter.backlog);
 }
 
+function countByExclusionReason({ cluster, scheduler }: LeaderTerm): Map<ExclusionReason, number> {
+  const counts = new Map<ExclusionReason, number>();
+  for (const machine of cluster.machines.values()) {
+    const reason = scheduler.feasibleMachines.exclusionReasonOf(machine);
+    if (reason !== null) counts.set(reason, (counts.get(reason) ?? 0) + 1);
+  }
+  return counts;
+}
+
 function toSnakeCase(name: string): string {
   return name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
 }
