The verdict on a faulty machine is kept apart from the operator's mode

What callers saw: a machine on which two jobs failed while operators had cordoned it stayed cordoned after it was opened again, with no line in the log; and a machine drained as faulty stayed drained although tasks were done on it since, which the code meant to be the end of the verdict. Either way jobs waited beside it.

Cause: the verdict was written into the operator's mode. Nothing wrote "open" back but a later change of c/modes, and that left any mode in place while the failures counted.

Evidence: the new test failed before (expected 'faulty', actual 'cordoned' after the operator opened it).

Fix: Machine.ejectedSince holds the verdict, mode only what operators set; an operator's mode takes precedence. A task that is done on the machine ends the verdict at once ("machine readmitted"). Each can be set and taken back by itself.

The test "a machine on which tasks of different jobs fail is drained" asserted the mode "drain", which is now the operator's alone. In its place one asserts the reason for the exclusion, that one failing job does not suffice, that the verdict comes within 1.5 s of the second job's submission, and that no task is started afterwards.

--- a/src/core/agents/failure-tracking.ts
+++ b/src/core/agents/failure-tracking.ts
@@ -12,11 +12,6 @@
 /** A machine on which this many jobs have failed is considered faulty. */
 const FAULTY_MACHINE_MIN_JOBS = 2;
 
-/** True if tasks of enough different jobs have failed on the machine for it to be drained. */
-export function isFaulty(machine: Machine): boolean {
-  return machine.failedJobs.size >= FAULTY_MACHINE_MIN_JOBS;
-}
-
 /**
  * Counts a failed task for its job and its machine. Most failures are caused by the machine, so a machine on which
  * different jobs fail is drained. A job that fails on several machines is itself likely to be faulty; exponential
@@ -34,14 +29,7 @@
   machine.failures++;
   machine.failedJobs.add(job.index);
   logFailure(ctx, placement);
-  if (isFaulty(machine) && machine.mode === "open") {
-    machine.mode = "drain";
-    ctx.log("info", "faulty machine drained", {
-      machine: machine.name,
-      failures: machine.failures,
-      failed_jobs: [...machine.failedJobs].map((index) => ctx.names.jobs.nameOf(index)),
-    });
-  }
+  if (machine.failedJobs.size >= FAULTY_MACHINE_MIN_JOBS) ejectMachine(ctx, machine);
   if (job.failedMachines.size < JOB_BACKOFF_MIN_MACHINES) return;
   const doublings = Math.min(JOB_BACKOFF_MAX_DOUBLINGS, job.failures - JOB_BACKOFF_MIN_MACHINES);
   const backoffMs = Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** doublings);
@@ -49,6 +37,26 @@
   ctx.log("debug", "job backed off", { job: job.uid, failures: job.failures, backoff_ms: backoffMs });
 }
 
+/** Records that a task is done on the machine: it is not, or no longer, faulty. */
+export function recordSuccess(ctx: Context, { job, machine }: Placement): void {
+  job.failures = 0;
+  machine.failures = 0;
+  machine.failedJobs.clear();
+  if (machine.ejectedSince === null) return;
+  machine.ejectedSince = null;
+  ctx.log("info", "machine readmitted", { machine: machine.name, reason: "a task was done on it" });
+}
+
+function ejectMachine(ctx: Context, machine: Machine): void {
+  if (machine.ejectedSince !== null) return;
+  machine.ejectedSince = ctx.now;
+  ctx.log("info", "faulty machine drained", {
+    machine: machine.name,
+    failures: machine.failures,
+    failed_jobs: [...machine.failedJobs].map((index) => ctx.names.jobs.nameOf(index)),
+  });
+}
+
 /** Logs how widely the job fails and how many jobs fail on the machine: this tells which of the two is at fault. */
 function logFailure(ctx: Context, { job, task, machine, runningSince }: Placement): void {
   ctx.log("debug", "task failed", {
--- a/src/core/agents/task-outcome.ts
+++ b/src/core/agents/task-outcome.ts
@@ -2,7 +2,7 @@
 import type { ExitReason } from "../model/job-spec.js";
 import type { Placement } from "../model/placement.js";
 import type { RecordWriter } from "../store/record-writer.js";
-import { recordFailure } from "./failure-tracking.js";
+import { recordFailure, recordSuccess } from "./failure-tracking.js";
 
 /** Backoff of a machine that refused a start because of missing capacity or an earlier attempt of the task. */
 const REFUSED_START_BACKOFF_MS = 2000;
@@ -40,7 +40,7 @@
 }
 
 function applyCompletion(ctx: Context, recordWriter: RecordWriter, placement: Placement): void {
-  const { job, machine, task, runningSince } = placement;
+  const { job, task, runningSince } = placement;
   // A task that may have resumed from a checkpoint is not observed: it may have run for only a part of its duration.
   if (runningSince !== null && (job.spec.checkpointS === 0 || !Number.isFinite(job.lastRanAt)))
     ctx.estimates.observe(job.spec, (ctx.now - runningSince) / 1000);
@@ -52,7 +52,5 @@
       recordWriter.markDirty(job, other, false);
     }
   } else if (job.spec.shape === "array") job.markDone(task);
-  job.failures = 0;
-  machine.failures = 0;
-  machine.failedJobs.clear();
+  recordSuccess(ctx, placement);
 }
--- a/src/core/autoscaling/machine-modes.ts
+++ b/src/core/autoscaling/machine-modes.ts
@@ -1,5 +1,4 @@
 import type { AgentManager } from "../agents/agent-manager.js";
-import { isFaulty } from "../agents/failure-tracking.js";
 import type { Context } from "../context.js";
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Machine } from "../model/machine.js";
@@ -10,7 +9,7 @@
 const REPLICA_MIN_AGE_MS = 30_000;
 const EVICTION_REASON = "machine drained or reclaimed";
 
-/** Applies the machine modes set by operators, and evicts tasks from machines drained or about to be reclaimed. */
+/** Applies the machine modes set by operators, and evicts tasks from machines that drain or are about to be reclaimed. */
 export class MachineModes {
   readonly #ctx: Context;
   readonly #config: ConfigWatch;
@@ -32,20 +31,17 @@
     this.#scheduler = scheduler;
   }
 
-  /** Applies the modes set by operators. Other machines return to "open" unless they are faulty. */
+  /** Applies the modes set by operators. All other machines are open. */
   apply(): void {
-    for (const machine of this.#cluster.machines.values()) {
-      const mode = this.#config.machineModes[machine.name];
-      if (mode) machine.mode = mode;
-      else if (!isFaulty(machine)) machine.mode = "open";
-    }
+    for (const machine of this.#cluster.machines.values())
+      machine.mode = this.#config.machineModes[machine.name] ?? "open";
   }
 
   /** Evicts tasks from machines that are drained or about to be reclaimed, allowing time for checkpoints. */
   drain(): void {
     for (const machine of this.#cluster.machines.values()) {
       if (machine.phase !== "up" || machine.isLeaseExpired) continue;
-      if (machine.reclaimDueAt === null && machine.mode !== "drain") continue;
+      if (machine.reclaimDueAt === null && !machine.isDraining) continue;
       this.#stopTasksWithCheckpoints(machine);
       this.#stopReplicas(machine);
     }
--- a/src/core/autoscaling/termination-rules.ts
+++ b/src/core/autoscaling/termination-rules.ts
@@ -93,8 +93,8 @@
   return machine.spot || (machine.reclaimDueAt !== null && now > machine.reclaimDueAt);
 }
 
-function isDrained({ mode, placements }: Machine): boolean {
-  return mode === "drain" && placements.size === 0;
+function isDrained({ isDraining, placements }: Machine): boolean {
+  return isDraining && placements.size === 0;
 }
 
 /** True if this is an idle GPU machine beyond those in use and the headroom, past the minimum charge. */
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -289,7 +289,7 @@
     this.#machineTypesRecord.write(types);
   }
 
-  /** Applies the machine modes set by operators. Machines drained as faulty stay drained. */
+  /** Applies the machine modes set by operators. Verdicts on faulty machines are not affected. */
   applyMachineModes(): void {
     this.#machineModes.apply();
     this.#requestRound();
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Whether a machine accepts tasks, as set by operators; faulty machines are also drained. "cordon" keeps running tasks
- * but accepts no new ones; "drain" also evicts tasks, and the machine is terminated once it is empty.
+ * Whether a machine accepts tasks, as set by operators. "cordon" keeps running tasks but accepts no new ones; "drain"
+ * also evicts tasks, and the machine is terminated once it is empty.
  */
 export type MachineMode = "open" | "cordon" | "drain";
 
@@ -72,6 +72,8 @@
   /** When the cloud reclaims it according to its interruption notice; null without one. */
   reclaimDueAt: number | null = null;
   mode: MachineMode = "open";
+  /** Since when it has been ejected from scheduling as faulty; null if it is not. An operator's mode takes precedence. */
+  ejectedSince: number | null = null;
   readonly placements = new Set<Placement>();
   /** Resources used by its placements. */
   used: Resources = NO_RESOURCES;
@@ -146,6 +148,11 @@
     );
   }
 
+  /** True if its tasks are to be evicted: an operator drains it, or it is faulty and no operator has set a mode. */
+  get isDraining(): boolean {
+    return this.mode === "drain" || (this.mode === "open" && this.ejectedSince !== null);
+  }
+
   /** Capacity not used by placements, the pending migration or unknown tasks; none if the type is not known. */
   freeCapacity(): Resources {
     const size = this.type?.size ?? NO_RESOURCES;
--- a/src/core/scheduling/exclusion-reasons.ts
+++ b/src/core/scheduling/exclusion-reasons.ts
@@ -1,4 +1,3 @@
-import { isFaulty } from "../agents/failure-tracking.js";
 import type { Context } from "../context.js";
 import type { Machine } from "../model/machine.js";
 
@@ -34,7 +33,8 @@
   if (machine.phase === "releasing") return "terminating";
   if (machine.isLeaseExpired) return "lease_expired";
   if (machine.mode === "cordon") return "cordoned";
-  if (machine.mode === "drain") return isFaulty(machine) ? "faulty" : "drained";
+  if (machine.mode === "drain") return "drained";
+  if (machine.ejectedSince !== null) return "faulty";
   if (machine.type === null) return "type_unknown";
   // A heartbeat without this term's fencing token may be a delayed copy and does not prove presence (I4).
   if (machine.fencedAt === null) return "not_fenced";
