An operator's mode holds for machines that a new leader meets later

Cause: a new leader applied the modes once, to the machines in the records of earlier leaders. A machine without tasks may be in none; it is added by its first heartbeat or by the cloud's list, and was open.

Fix: the cluster state has the operators' modes and gives each machine its own when it is added, so it doesn't matter how a leader comes to know it. MachineModes only evicts tasks now and is called MachineEvacuation.

--- a/src/core/autoscaling/machine-modes.ts
+++ b/src/core/autoscaling/machine-evacuation.ts
@@ -3,42 +3,27 @@
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Machine } from "../model/machine.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
-import type { ConfigWatch } from "../store/config-watch.js";
 
 /** The minimum time from sending a service replica's start command to evicting it. */
 const REPLICA_MIN_AGE_MS = 30_000;
 const EVICTION_REASON = "machine drained or reclaimed";
 
-/** Applies the machine modes set by operators, and evicts tasks from machines that drain or are about to be reclaimed. */
-export class MachineModes {
+/** Evicts tasks from machines that drain or are about to be reclaimed. */
+export class MachineEvacuation {
   readonly #ctx: Context;
-  readonly #config: ConfigWatch;
   readonly #cluster: ClusterState;
   readonly #agents: AgentManager;
   readonly #scheduler: Scheduler;
 
-  constructor(
-    ctx: Context,
-    config: ConfigWatch,
-    cluster: ClusterState,
-    agents: AgentManager,
-    scheduler: Scheduler,
-  ) {
+  constructor(ctx: Context, cluster: ClusterState, agents: AgentManager, scheduler: Scheduler) {
     this.#ctx = ctx;
-    this.#config = config;
     this.#cluster = cluster;
     this.#agents = agents;
     this.#scheduler = scheduler;
   }
 
-  /** Applies the modes set by operators. All other machines are open. */
-  apply(): void {
-    for (const machine of this.#cluster.machines.values())
-      machine.mode = this.#config.machineModes[machine.name] ?? "open";
-  }
-
   /** Evicts tasks from machines that are drained or about to be reclaimed, allowing time for checkpoints. */
-  drain(): void {
+  tick(): void {
     for (const machine of this.#cluster.machines.values()) {
       if (machine.phase !== "up" || machine.isLeaseExpired) continue;
       if (machine.reclaimDueAt === null && !machine.isDraining) continue;
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -1,6 +1,6 @@
 import { type AgentEvents, AgentManager } from "./agents/agent-manager.js";
 import { applyTaskOutcome } from "./agents/task-outcome.js";
-import { MachineModes } from "./autoscaling/machine-modes.js";
+import { MachineEvacuation } from "./autoscaling/machine-evacuation.js";
 import { Provisioner } from "./autoscaling/provisioner.js";
 import { ClusterRecovery } from "./cluster-recovery.js";
 import type { Context, TimeBudget } from "./context.js";
@@ -65,7 +65,7 @@
   readonly #recovery: ClusterRecovery;
   readonly #progress: ProgressPublisher;
   readonly #machineTypesRecord: MachineTypesRecord;
-  readonly #machineModes: MachineModes;
+  readonly #machineEvacuation: MachineEvacuation;
   /** True if a change has occurred that a scheduling round may act on. */
   #isRoundNeeded = true;
   #lastRoundAt = 0;
@@ -106,7 +106,7 @@
     });
     this.migrator = new ReplicaMigrator(ctx, { cluster, agents, recordWriter, scheduler });
     this.#progress = new ProgressPublisher(ctx, cluster);
-    this.#machineModes = new MachineModes(ctx, config, cluster, agents, scheduler);
+    this.#machineEvacuation = new MachineEvacuation(ctx, cluster, agents, scheduler);
     this.#machineTypesRecord = new MachineTypesRecord(ctx, config, lease);
     const sharedDependencies = { cluster, agents, recordWriter, dependencies };
     this.#jobLifecycle = new JobLifecycle(ctx, sharedDependencies, this.#jobLifecycleCallbacks());
@@ -255,7 +255,7 @@
     if (now - this.#lastMachineScanAt < MACHINE_SCAN_INTERVAL_MS) return;
     this.#lastMachineScanAt = now;
     this.agents.expireLeases();
-    this.#machineModes.drain();
+    this.#machineEvacuation.tick();
     if (this.hasEnded) return;
     this.provisioner.tick(this.#election.hasValidLease);
     if (this.#election.hasValidLease) this.migrator.tick();
@@ -291,7 +291,7 @@
 
   /** Applies the machine modes set by operators. Verdicts on faulty machines are not affected. */
   applyMachineModes(): void {
-    this.#machineModes.apply();
+    this.cluster.setOperatorModes(this.#config.machineModes);
     this.#requestRound();
   }
 
--- a/src/core/model/cluster-state.ts
+++ b/src/core/model/cluster-state.ts
@@ -2,7 +2,7 @@
 import type { NameRegistry } from "./interner.js";
 import { Job } from "./job.js";
 import type { JobSpec } from "./job-spec.js";
-import { Machine, type MachineOrigin } from "./machine.js";
+import { Machine, type MachineMode, type MachineOrigin } from "./machine.js";
 import type { Placement } from "./placement.js";
 import type { Resources } from "./resources.js";
 import { add, NO_RESOURCES } from "./resources.js";
@@ -25,6 +25,8 @@
   /** When the cloud confirmed a termination, by machine name: late lists and heartbeats may still show the machine. */
   readonly terminatedMachines = new Map<string, number>();
   readonly names: NameRegistry;
+  /** The modes set by operators, by machine name; machines that are not listed are open. */
+  #operatorModes: Readonly<Record<string, MachineMode>> = {};
 
   constructor(names: NameRegistry) {
     this.names = names;
@@ -40,6 +42,7 @@
     }
     const machine = new Machine(index, name, origin, createdAt);
     machine.type = this.machineTypes.get(origin.type) ?? null;
+    machine.mode = this.#operatorModes[name] ?? "open";
     this.machines.set(index, machine);
     return machine;
   }
@@ -51,6 +54,12 @@
       machine.type = this.machineTypes.get(machine.typeName) ?? null;
   }
 
+  /** Sets the modes of all machines, also of those added later: an idle machine is in no record of earlier leaders. */
+  setOperatorModes(modes: Readonly<Record<string, MachineMode>>): void {
+    this.#operatorModes = modes;
+    for (const machine of this.machines.values()) machine.mode = modes[machine.name] ?? "open";
+  }
+
   /** Returns the unfinished job with this id, or undefined. */
   jobByUid(uid: string): Job | undefined {
     const index = this.names.jobs.find(uid);
