Outlier detection: jobs that fail everywhere are no evidence against machines

All four machines were set to drain within 0.4 s; 30 s later all replicas of a prod service were stopped and never ran again, and a job of another team waited 90 s beside 7 free CPUs on every machine.

Cause: a machine was judged faulty as soon as two jobs had failed on it since a task was last done there. A failure is evidence against the job as much as against the machine, and the job's other failures were not looked at; nothing limited how many machines were drained and terminated, and nothing took a verdict back but a task done on the machine.

Fix, in the terms of the field: - Attribution: a job is at fault if it failed on three machines, or on all that it may run on but two at least, since it last succeeded, and runs on no more machines than those. Its failures are no evidence, now or earlier: a machine is readmitted. - An ejected machine gets no new tasks, as soon as before; it is drained and terminated only once two of the jobs that failed on it are known to succeed elsewhere. Unconfirmed, the ejection ends after 60 s, below the 90 s that a job may wait. - Maximum ejection share: a fifth of all machines and of those of one type in one zone, one at least. A terminated faulty machine counts until it is replaced, 5 min at most. Beyond the limit the machines with the most evidence are out. - Failures count for 5 min, and the jobs themselves are remembered, not indices that may be used again for other jobs.

--- /dev/null
+++ b/src/core/agents/outlier-detector.ts
@@ -0,0 +1,175 @@
+import type { Context } from "../context.js";
+import type { ClusterState } from "../model/cluster-state.js";
+import type { Job } from "../model/job.js";
+import type { Machine } from "../model/machine.js";
+import { EjectionLimit } from "./ejection-limit.js";
+import { FailureAttribution, MACHINE_EVIDENCE_MS } from "./failure-attribution.js";
+
+/** A machine on which this many jobs have failed that are not at fault themselves is an outlier. */
+const OUTLIER_MIN_JOBS = 2;
+/** An ejection that is not confirmed ends after this time: a job may wait for the machine. */
+const EJECTION_MS = 60_000;
+
+/** The evidence that a machine is faulty. */
+interface Evidence {
+  /** Jobs that have failed on it and are not at fault themselves. */
+  readonly jobs: readonly Job[];
+  /** How many of them are known to succeed on other machines. */
+  readonly soundCount: number;
+}
+
+/**
+ * Outlier detection: ejects machines from scheduling on which different jobs fail that do not fail elsewhere.
+ *
+ * An ejection takes nothing but new tasks from the machine, until it is confirmed by jobs that are known to succeed on
+ * other machines. It ends when a task is done on the machine, when the failures turn out to be the jobs' fault, when they
+ * are long ago or, unconfirmed, after {@link EJECTION_MS}. The number of ejected machines is limited
+ * ({@link EjectionLimit}); beyond it the machines with the most evidence are ejected.
+ *
+ * The state is the leader's own: a new leader starts without ejections and finds a faulty machine by its next failures.
+ */
+export class OutlierDetector {
+  readonly #ctx: Context;
+  readonly #cluster: ClusterState;
+  readonly #limit: EjectionLimit;
+  readonly #onReadmitted: () => void;
+  /** Confirmed outliers that are not terminated yet. */
+  readonly #confirmed = new Set<Machine>();
+  /** Outliers that the limit keeps in use, each logged once. */
+  readonly #deferred = new Set<Machine>();
+
+  /**
+   * @param ctx The context shared by all parts of the core.
+   * @param cluster The cluster state.
+   * @param onReadmitted Called when tasks may be placed on an ejected machine again.
+   */
+  constructor(ctx: Context, cluster: ClusterState, onReadmitted: () => void) {
+    this.#ctx = ctx;
+    this.#cluster = cluster;
+    this.#limit = new EjectionLimit(cluster);
+    this.#onReadmitted = onReadmitted;
+  }
+
+  /** Records that a task of the job has failed on the machine, and ejects the machine if it is an outlier now. */
+  onTaskFailed(job: Job, machine: Machine): void {
+    machine.failures++;
+    machine.failedJobs.set(job, this.#ctx.now);
+    this.#evaluate(machine, new FailureAttribution(this.#cluster, this.#ctx.now));
+  }
+
+  /** Records that a task was done on the machine: it is not, or no longer, faulty. */
+  onTaskDone(machine: Machine): void {
+    machine.failures = 0;
+    machine.failedJobs.clear();
+    if (machine.ejection) this.#readmit(machine, "a task was done on it");
+  }
+
+  /** Evaluates the evidence again: jobs have failed or succeeded elsewhere, and time has passed. */
+  tick(): void {
+    const attribution = new FailureAttribution(this.#cluster, this.#ctx.now);
+    for (const machine of this.#cluster.machines.values())
+      if (machine.failedJobs.size > 0 || machine.ejection) this.#evaluate(machine, attribution);
+    for (const machine of this.#confirmed) {
+      if (machine.phase !== "releasing") continue;
+      this.#confirmed.delete(machine);
+      this.#limit.onFaultyTerminated(machine, this.#ctx.now);
+    }
+  }
+
+  #evaluate(machine: Machine, attribution: FailureAttribution): void {
+    const evidence = this.#evidenceOn(machine, attribution);
+    const { ejection } = machine;
+    if (!ejection) {
+      if (evidence.jobs.length >= OUTLIER_MIN_JOBS) this.#eject(machine, evidence, attribution);
+      else this.#deferred.delete(machine);
+    } else if (evidence.jobs.length < OUTLIER_MIN_JOBS) {
+      this.#readmit(machine, "its failures are no longer evidence against it");
+    } else if (!ejection.isConfirmed) {
+      if (evidence.soundCount >= OUTLIER_MIN_JOBS) this.#confirm(machine, ejection.since, evidence);
+      else if (this.#ctx.now >= ejection.until) this.#endUnconfirmed(machine);
+    }
+  }
+
+  /** Returns the evidence on a machine, without failures that are long ago. */
+  #evidenceOn(machine: Machine, attribution: FailureAttribution): Evidence {
+    const jobs: Job[] = [];
+    for (const [job, failedAt] of machine.failedJobs) {
+      if (this.#ctx.now - failedAt > MACHINE_EVIDENCE_MS) machine.failedJobs.delete(job);
+      else if (!attribution.isAtFault(job)) jobs.push(job);
+    }
+    return { jobs, soundCount: jobs.filter((job) => attribution.isSound(job)).length };
+  }
+
+  #eject(machine: Machine, evidence: Evidence, attribution: FailureAttribution): void {
+    const { now } = this.#ctx;
+    if (!this.#limit.allows(machine, now) && !this.#makeRoomFor(machine, evidence, attribution)) {
+      this.#logDeferred(machine, evidence);
+      return;
+    }
+    this.#deferred.delete(machine);
+    machine.ejection = { since: now, until: now + EJECTION_MS, isConfirmed: false };
+    this.#ctx.log("info", "machine ejected", logFields(machine, evidence));
+    if (evidence.soundCount >= OUTLIER_MIN_JOBS) this.#confirm(machine, now, evidence);
+  }
+
+  /** Readmits an unconfirmed outlier with less evidence, if that makes room for this one. */
+  #makeRoomFor(machine: Machine, evidence: Evidence, attribution: FailureAttribution): boolean {
+    for (const other of this.#cluster.machines.values()) {
+      const { ejection } = other;
+      if (!ejection || ejection.isConfirmed) continue;
+      if (!isStronger(evidence, this.#evidenceOn(other, attribution))) continue;
+      other.ejection = null;
+      const isAllowed = this.#limit.allows(machine, this.#ctx.now);
+      other.ejection = ejection;
+      if (!isAllowed) continue;
+      this.#readmit(other, "the evidence against another machine is stronger");
+      return true;
+    }
+    return false;
+  }
+
+  #confirm(machine: Machine, since: number, evidence: Evidence): void {
+    machine.ejection = { since, until: Number.POSITIVE_INFINITY, isConfirmed: true };
+    this.#confirmed.add(machine);
+    this.#ctx.log("info", "faulty machine drained", logFields(machine, evidence));
+  }
+
+  /** Ends an ejection that nothing has confirmed. Only new failures may eject the machine again. */
+  #endUnconfirmed(machine: Machine): void {
+    machine.failedJobs.clear();
+    this.#readmit(machine, "the ejection time is over");
+  }
+
+  #readmit(machine: Machine, reason: string): void {
+    this.#ctx.log("info", "machine readmitted", {
+      machine: machine.name,
+      reason,
+      ejected_ms: Math.round(this.#ctx.now - (machine.ejection?.since ?? this.#ctx.now)),
+    });
+    machine.ejection = null;
+    this.#confirmed.delete(machine);
+    this.#onReadmitted();
+  }
+
+  #logDeferred(machine: Machine, evidence: Evidence): void {
+    if (this.#deferred.has(machine)) return;
+    this.#deferred.add(machine);
+    this.#ctx.log("info", "machine not ejected", {
+      ...logFields(machine, evidence),
+      reason: "the maximum ejection share is reached",
+    });
+  }
+}
+
+function isStronger(a: Evidence, b: Evidence): boolean {
+  return a.soundCount > b.soundCount || (a.soundCount === b.soundCount && a.jobs.length > b.jobs.length);
+}
+
+function logFields(machine: Machine, { jobs, soundCount }: Evidence): Record<string, unknown> {
+  return {
+    machine: machine.name,
+    failures: machine.failures,
+    failed_jobs: jobs.map(({ uid }) => uid),
+    sound_jobs: soundCount,
+  };
+}
--- a/src/core/autoscaling/machine-reaper.ts
+++ b/src/core/autoscaling/machine-reaper.ts
@@ -1,7 +1,7 @@
 import type { Context } from "../context.js";
 import type { ClusterState } from "../model/cluster-state.js";
 import type { LeaderLease } from "../model/leader-lease.js";
-import type { Machine } from "../model/machine.js";
+import { type Machine, mayRunOn } from "../model/machine.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
 import { type ClusterHealth, isSilent, machineKindOf, terminationReasonFor } from "./termination-rules.js";
 
@@ -120,10 +120,10 @@
       const kind = machineKindOf(machine);
       if (!kinds.has(kind)) kinds.set(kind, machine);
     }
-    const { blocked, feasibleMachines } = this.#scheduler;
+    const { blocked } = this.#scheduler;
     const demanded = new Set<string>();
     for (const [kind, machine] of kinds)
-      if (blocked.some(({ job }) => feasibleMachines.mayRunOn(job, machine))) demanded.add(kind);
+      if (blocked.some(({ job }) => mayRunOn(job.spec, machine))) demanded.add(kind);
     return demanded;
   }
 }
--- a/src/core/autoscaling/provisioner.ts
+++ b/src/core/autoscaling/provisioner.ts
@@ -4,6 +4,7 @@
 import type { MachineType } from "../model/deployment.js";
 import type { Job } from "../model/job.js";
 import type { LeaderLease } from "../model/leader-lease.js";
+import { mayRunOn } from "../model/machine.js";
 import { countFitting } from "../model/resources.js";
 import type { BlockedJob, Scheduler } from "../scheduling/scheduler.js";
 import type { RecordWriter } from "../store/record-writer.js";
@@ -163,7 +164,7 @@
     const { feasibleMachines } = this.#scheduler;
     const slotsByZone = new Map<string, number>();
     for (const machine of this.#cluster.machines.values()) {
-      if (!feasibleMachines.isSchedulable(machine) || !feasibleMachines.mayRunOn(job, machine)) continue;
+      if (!feasibleMachines.isSchedulable(machine) || !mayRunOn(job.spec, machine)) continue;
       const slots = countFitting(job.spec.need, machine.freeCapacity());
       slotsByZone.set(machine.zone, (slotsByZone.get(machine.zone) ?? 0) + slots);
     }
--- a/src/core/autoscaling/termination-rules.ts
+++ b/src/core/autoscaling/termination-rules.ts
@@ -36,6 +36,7 @@
   { reason: "unreachable", applies: isUnreachableForLong },
   { reason: "silent", applies: isExpiredForLong },
   { reason: "reclaimed", applies: isReclaimed },
+  { reason: "faulty", applies: isFaultyAndEmpty },
   { reason: "drained", applies: isDrained },
   { reason: "not needed", applies: isSurplus },
   { reason: "idle", applies: isIdleWithoutDemand },
@@ -93,8 +94,12 @@
   return machine.spot || (machine.reclaimDueAt !== null && now > machine.reclaimDueAt);
 }
 
-function isDrained({ isDraining, placements }: Machine): boolean {
-  return isDraining && placements.size === 0;
+function isFaultyAndEmpty({ mode, isDraining, placements }: Machine): boolean {
+  return isDraining && mode === "open" && placements.size === 0;
+}
+
+function isDrained({ mode, placements }: Machine): boolean {
+  return mode === "drain" && placements.size === 0;
 }
 
 /** True if this is an idle GPU machine beyond those in use and the headroom, past the minimum charge. */
--- a/src/core/leader-term.ts
+++ b/src/core/leader-term.ts
@@ -1,5 +1,6 @@
 import { type AgentEvents, AgentManager } from "./agents/agent-manager.js";
-import { applyTaskOutcome } from "./agents/task-outcome.js";
+import { OutlierDetector } from "./agents/outlier-detector.js";
+import { TaskOutcomes } from "./agents/task-outcome.js";
 import { MachineEvacuation } from "./autoscaling/machine-evacuation.js";
 import { Provisioner } from "./autoscaling/provisioner.js";
 import { ClusterRecovery } from "./cluster-recovery.js";
@@ -66,6 +67,8 @@
   readonly #progress: ProgressPublisher;
   readonly #machineTypesRecord: MachineTypesRecord;
   readonly #machineEvacuation: MachineEvacuation;
+  readonly #outliers: OutlierDetector;
+  readonly #taskOutcomes: TaskOutcomes;
   /** True if a change has occurred that a scheduling round may act on. */
   #isRoundNeeded = true;
   #lastRoundAt = 0;
@@ -106,6 +109,8 @@
     });
     this.migrator = new ReplicaMigrator(ctx, { cluster, agents, recordWriter, scheduler });
     this.#progress = new ProgressPublisher(ctx, cluster);
+    this.#outliers = new OutlierDetector(ctx, cluster, () => this.#requestRound());
+    this.#taskOutcomes = new TaskOutcomes(ctx, recordWriter, this.#outliers);
     this.#machineEvacuation = new MachineEvacuation(ctx, cluster, agents, scheduler);
     this.#machineTypesRecord = new MachineTypesRecord(ctx, config, lease);
     const sharedDependencies = { cluster, agents, recordWriter, dependencies };
@@ -219,7 +224,7 @@
     const { job, task } = placement;
     this.#requestRound();
     this.recordWriter.markDirty(job, task, false);
-    applyTaskOutcome(this.#ctx, this.recordWriter, placement, cause);
+    this.#taskOutcomes.apply(placement, cause);
     if (breaksGang(placement, cause)) this.#stopRestOfGang(placement);
     if (!this.migrator.onPlacementEnded(placement)) this.#jobLifecycle.finalizeIfEnded(job);
   }
@@ -255,6 +260,7 @@
     if (now - this.#lastMachineScanAt < MACHINE_SCAN_INTERVAL_MS) return;
     this.#lastMachineScanAt = now;
     this.agents.expireLeases();
+    this.#outliers.tick();
     this.#machineEvacuation.tick();
     if (this.hasEnded) return;
     this.provisioner.tick(this.#election.hasValidLease);
--- a/src/core/migration/migration-planner.ts
+++ b/src/core/migration/migration-planner.ts
@@ -1,7 +1,7 @@
 import type { Context } from "../context.js";
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Job } from "../model/job.js";
-import type { Machine } from "../model/machine.js";
+import { type Machine, mayRunOn } from "../model/machine.js";
 import type { Placement } from "../model/placement.js";
 import { add, fits } from "../model/resources.js";
 import { weightedIndex } from "../random.js";
@@ -120,7 +120,7 @@
       !machine.isMarkedForScaleIn &&
       !this.#isUnderutilized(machine) &&
       feasibleMachines.isSchedulable(machine) &&
-      feasibleMachines.mayRunOn(job, machine)
+      mayRunOn(job.spec, machine)
     );
   }
 
--- a/src/core/model/job.ts
+++ b/src/core/model/job.ts
@@ -1,4 +1,5 @@
 import type { JobSpec, Priority } from "./job-spec.js";
+import type { Machine } from "./machine.js";
 import type { Placement } from "./placement.js";
 
 /** The state of a job: "active" until it is cancelled or all of its tasks are done. */
@@ -35,8 +36,10 @@
   hasUnreadableRecord = false;
   /** Number of failed tasks since a task was last done. */
   failures = 0;
-  /** Indices of machines on which tasks of the job have failed. */
-  readonly failedMachines = new Set<number>();
+  /** When a task of the job last failed on each machine; failures long ago are forgotten. */
+  readonly failedOn = new Map<Machine, number>();
+  /** When a task of the job was last done or a replica had run for long; minus infinity if never. */
+  succeededAt = Number.NEGATIVE_INFINITY;
   /** The active placements by task number. */
   readonly placements = new Map<number, Placement>();
   /** Number of tasks that are done. */
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -1,5 +1,6 @@
 import type { Heartbeat } from "../messages/agents.js";
 import type { MachineType } from "./deployment.js";
+import type { Job } from "./job.js";
 import type { JobSpec } from "./job-spec.js";
 import type { Placement, Reservation } from "./placement.js";
 import type { Resources } from "./resources.js";
@@ -10,6 +11,15 @@
   return fits(spec.need, type.size) && (spec.types === null || spec.types.includes(type.name));
 }
 
+/** True if the job's constraints (types, zone, spot) allow the machine, regardless of its size and free capacity. */
+export function mayRunOn({ types, zone, spot }: JobSpec, machine: Machine): boolean {
+  return (
+    (types === null || types.includes(machine.typeName)) &&
+    (zone === null || zone === machine.zone) &&
+    (spot || !machine.spot)
+  );
+}
+
 /** An image that a machine is assumed to have in its cache or to be fetching. */
 export interface CachedImage {
   /** Estimated time at which the fetch is complete. */
@@ -24,6 +34,18 @@
  */
 export type MachineMode = "open" | "cordon" | "drain";
 
+/**
+ * The ejection of an outlier: a machine on which different jobs fail that do not fail elsewhere gets no tasks. Until it
+ * is confirmed, running tasks are left alone and the ejection ends by itself.
+ */
+export interface Ejection {
+  readonly since: number;
+  /** When it ends unless it is confirmed. */
+  readonly until: number;
+  /** True once the jobs are known to succeed on other machines: the machine is drained and terminated. */
+  readonly isConfirmed: boolean;
+}
+
 /** Location and type of a machine, from its agent's heartbeat or from the cloud. */
 export interface MachineOrigin {
   /** Address of the agent; empty if not known yet. */
@@ -72,8 +94,8 @@
   /** When the cloud reclaims it according to its interruption notice; null without one. */
   reclaimDueAt: number | null = null;
   mode: MachineMode = "open";
-  /** Since when it has been ejected from scheduling as faulty; null if it is not. An operator's mode takes precedence. */
-  ejectedSince: number | null = null;
+  /** The verdict that it is faulty; null if there is none. An operator's mode takes precedence. */
+  ejection: Ejection | null = null;
   readonly placements = new Set<Placement>();
   /** Resources used by its placements. */
   used: Resources = NO_RESOURCES;
@@ -100,8 +122,8 @@
   backoffUntil = 0;
   /** Number of failed tasks since a task was last done here. */
   failures = 0;
-  /** Indices of jobs whose tasks have failed here. */
-  readonly failedJobs = new Set<number>();
+  /** When a task of each job last failed here, since a task was last done here. */
+  readonly failedJobs = new Map<Job, number>();
   /** Index of the machine record that contains it as of the last write; null if none does. */
   recordIndex: number | null = null;
   /** True while a directly sent command batch awaits its reply. */
@@ -148,9 +170,9 @@
     );
   }
 
-  /** True if its tasks are to be evicted: an operator drains it, or it is faulty and no operator has set a mode. */
+  /** True if tasks are evicted: an operator drains it, or it is confirmed to be faulty and no operator has set a mode. */
   get isDraining(): boolean {
-    return this.mode === "drain" || (this.mode === "open" && this.ejectedSince !== null);
+    return this.mode === "drain" || (this.mode === "open" && this.ejection?.isConfirmed === true);
   }
 
   /** Capacity not used by placements, the pending migration or unknown tasks; none if the type is not known. */
--- a/src/core/scheduling/exclusion-reasons.ts
+++ b/src/core/scheduling/exclusion-reasons.ts
@@ -15,6 +15,7 @@
   | "lease_expired"
   | "cordoned"
   | "drained"
+  | "ejected"
   | "faulty"
   | "type_unknown"
   | "not_fenced"
@@ -34,7 +35,7 @@
   if (machine.isLeaseExpired) return "lease_expired";
   if (machine.mode === "cordon") return "cordoned";
   if (machine.mode === "drain") return "drained";
-  if (machine.ejectedSince !== null) return "faulty";
+  if (machine.ejection !== null) return machine.ejection.isConfirmed ? "faulty" : "ejected";
   if (machine.type === null) return "type_unknown";
   // A heartbeat without this term's fencing token may be a delayed copy and does not prove presence (I4).
   if (machine.fencedAt === null) return "not_fenced";
--- a/src/core/scheduling/feasible-machines.ts
+++ b/src/core/scheduling/feasible-machines.ts
@@ -1,7 +1,7 @@
 import type { Context } from "../context.js";
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Job } from "../model/job.js";
-import { fitsMachineType, type Machine } from "../model/machine.js";
+import { fitsMachineType, type Machine, mayRunOn } from "../model/machine.js";
 import type { Resources } from "../model/resources.js";
 import { type ExclusionReason, exclusionReasonOf } from "./exclusion-reasons.js";
 import type { GpuHeadroomGuard } from "./gpu-headroom-guard.js";
@@ -66,16 +66,6 @@
     machine.loggedExclusion = reason;
   }
 
-  /** True if the job's constraints (types, zone, spot) allow this machine, regardless of free capacity. */
-  mayRunOn(job: Job, machine: Machine): boolean {
-    const { types, zone, spot } = job.spec;
-    return (
-      (types === null || types.includes(machine.typeName)) &&
-      (zone === null || zone === machine.zone) &&
-      (spot || !machine.spot)
-    );
-  }
-
   /** Returns why no task may be placed on the machine, or null if tasks may be placed. */
   exclusionReasonOf(machine: Machine): ExclusionReason | null {
     return exclusionReasonOf(this.#ctx, machine);
@@ -109,7 +99,7 @@
   /** Appends the feasible machines to `found`; all of `machines` have one type, which fits the job. */
   #collect(job: Job, preemptibleBelow: number, machines: readonly Machine[], found: Machine[]): void {
     for (const machine of machines) {
-      if (!machine.hasCapacityFor(job.spec.need, preemptibleBelow) || !this.mayRunOn(job, machine)) continue;
+      if (!machine.hasCapacityFor(job.spec.need, preemptibleBelow) || !mayRunOn(job.spec, machine)) continue;
       if (this.#isReservedForOther(job, machine) || this.wouldWasteGpus(job, machine)) continue;
       if (this.#hasFailedOn(job, machine) || this.#wouldSlowFetch(job, machine))
         this.wasSearchJobSpecific = true;
@@ -143,9 +133,7 @@
 
   /** True if the job failed here. Ignored after failures on half of all machines: the job is at fault then. */
   #hasFailedOn(job: Job, machine: Machine): boolean {
-    return (
-      job.failedMachines.has(machine.index) && job.failedMachines.size < this.#clusterState.machines.size / 2
-    );
+    return job.failedOn.has(machine) && job.failedOn.size < this.#clusterState.machines.size / 2;
   }
 
   /** True if this job's image fetch would compete for bandwidth with that of a higher-priority gang. */
--- a/src/core/scheduling/negative-fit-cache.ts
+++ b/src/core/scheduling/negative-fit-cache.ts
@@ -28,7 +28,7 @@
   /** True if this number of the job's tasks is known not to fit. */
   has(job: Job, tasks: number): boolean {
     // A job with failures or reservations has a different set of feasible machines than the job that failed to fit.
-    if (job.failedMachines.size > 0 || job.reservationUntil > this.#ctx.now) return false;
+    if (job.failedOn.size > 0 || job.reservationUntil > this.#ctx.now) return false;
     const { need } = job.spec;
     return (this.#failedByConstraints.get(constraintsKey(job)) ?? []).some(
       (failed) => tasks >= failed.tasks && fits(failed.need, need),
--- a/test/negative-fit-cache.test.ts
+++ b/test/negative-fit-cache.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Job } from "../src/core/model/job.js";
+import { Machine } from "../src/core/model/machine.js";
 import { NegativeFitCache } from "../src/core/scheduling/negative-fit-cache.js";
 import { ControllerHarness, jobSpec } from "./support/controller-harness.js";
 
@@ -22,7 +23,10 @@
   assert.equal(cache.has(reserved, 2), false);
 
   const failedBefore = gangOf("j-6", 3000, 2);
-  failedBefore.failedMachines.add(1);
+  failedBefore.failedOn.set(
+    new Machine(1, "M1", { address: "", type: "small", zone: "a", spot: false }, 0),
+    0,
+  );
   assert.equal(cache.has(failedBefore, 2), false, "its feasible machines differ");
 
   cache.clear();
--- a/test/support/agent-fleet.ts
+++ b/test/support/agent-fleet.ts
@@ -24,8 +24,12 @@
 export class AgentFleet {
   /** Each start of a task, in order, as `UID/TASK on MACHINE`. */
   readonly starts: string[] = [];
+  /** Each failure of a task, in order. */
+  readonly failures: { readonly uid: string; readonly machine: string }[] = [];
   /** Machines that the cloud was asked to terminate, in order. */
   readonly terminated: string[] = [];
+  /** Number of agents added after those of the constructor. */
+  added = 0;
   fateOf: FateOf;
   readonly #harness: ControllerHarness;
   readonly #machines = new Map<string, Partial<Heartbeat>>();
@@ -36,6 +40,7 @@
     this.#harness = harness;
     this.fateOf = fateOf;
     for (const [name, overrides] of Object.entries(machines)) this.add(name, overrides);
+    this.added = 0;
     const defaultCloudRule = harness.cloudRule;
     harness.cloudRule = (call) => {
       if (call.kind === "delete") for (const name of call.machines) this.#terminate(name);
@@ -46,6 +51,7 @@
 
   /** Adds an agent. */
   add(name: string, overrides: Partial<Heartbeat> = {}): void {
+    this.added++;
     this.#machines.set(name, overrides);
     this.#tasks.set(name, []);
   }
@@ -97,6 +103,7 @@
       const { status, fate, startedAt } = task;
       if (status.state !== "running" || !fate || this.#harness.now - startedAt < fate.afterMs) continue;
       task.status = { ...status, state: "ended", exitReason: fate.exitReason };
+      if (fate.exitReason === "error") this.failures.push({ uid: status.uid, machine: name });
     }
   }
 
