A job is not backed off for failures that faulty machines explain

Cause: the same kind as the machines' verdict, on the side of the job. Every failed task doubled the job's backoff, so one try of twenty tasks gave the longest one. A job counted as failing if it had ever failed on two machines, however many it ran on. A task that was done reset the count, but not the backoff. Failures on a machine that is found to be faulty kept counting against the jobs: the same evidence was held against both.

Fix: a job is suspect if it has failed, since its last success, on two machines that are not ejected, and runs on no more machines than those. Tasks that fail while the job is backed off belong to the same try. A success ends the backoff, and so does the ejection of the machine that explains it. A refusal as unknown no longer shortens a backoff.

--- a/src/core/agents/failure-attribution.ts
+++ b/src/core/agents/failure-attribution.ts
@@ -6,8 +6,8 @@
 export const MACHINE_EVIDENCE_MS = 300_000;
 /** For how long a job's failures are remembered: each explains failures of the job elsewhere while those count. */
 export const JOB_FAILURE_MEMORY_MS = 2 * MACHINE_EVIDENCE_MS;
-/** A job that has failed on fewer machines than this is never at fault: the machines may be. */
-const AT_FAULT_MIN_MACHINES = 2;
+/** A job that has failed on fewer machines than this is neither suspect nor at fault: the machine may be. */
+const SUSPECT_MIN_MACHINES = 2;
 /** A job that has failed on this many machines may be at fault even if there are others that it could run on. */
 const AT_FAULT_MACHINES = 3;
 /** A task that has run for this long shows that its job does not fail everywhere. */
@@ -50,9 +50,19 @@
     return false;
   }
 
+  /**
+   * True if the job may be at fault: since its last success it has failed on several machines that are not ejected, and
+   * it runs on no more machines than those.
+   */
+  isSuspect(job: Job): boolean {
+    const failedOn = this.#machinesFailedOnSinceSuccess(job);
+    for (const machine of failedOn) if (machine.ejection) failedOn.delete(machine);
+    return failedOn.size >= SUSPECT_MIN_MACHINES && failedOn.size >= countOtherMachinesRunning(job, failedOn);
+  }
+
   #assess(job: Job): boolean {
     const failedOn = this.#machinesFailedOnSinceSuccess(job);
-    if (failedOn.size < AT_FAULT_MIN_MACHINES) return false;
+    if (failedOn.size < SUSPECT_MIN_MACHINES) return false;
     if (failedOn.size < AT_FAULT_MACHINES && this.#hasUntriedMachine(job, failedOn)) return false;
     return failedOn.size >= countOtherMachinesRunning(job, failedOn);
   }
--- a/src/core/agents/outlier-detector.ts
+++ b/src/core/agents/outlier-detector.ts
@@ -4,6 +4,7 @@
 import type { Machine } from "../model/machine.js";
 import { EjectionLimit } from "./ejection-limit.js";
 import { FailureAttribution, MACHINE_EVIDENCE_MS } from "./failure-attribution.js";
+import { backOffIfSuspect, endBackoff } from "./job-backoff.js";
 
 /** A machine on which this many jobs have failed that are not at fault themselves is an outlier. */
 const OUTLIER_MIN_JOBS = 2;
@@ -50,11 +51,13 @@
     this.#onReadmitted = onReadmitted;
   }
 
-  /** Records that a task of the job has failed on the machine, and ejects the machine if it is an outlier now. */
+  /** Records that a task of the job has failed on the machine: the machine may be an outlier now, or the job suspect. */
   onTaskFailed(job: Job, machine: Machine): void {
     machine.failures++;
     machine.failedJobs.set(job, this.#ctx.now);
-    this.#evaluate(machine, new FailureAttribution(this.#cluster, this.#ctx.now));
+    const attribution = new FailureAttribution(this.#cluster, this.#ctx.now);
+    this.#evaluate(machine, attribution);
+    backOffIfSuspect(this.#ctx, job, attribution);
   }
 
   /** Records that a task was done on the machine: it is not, or no longer, faulty. */
@@ -108,6 +111,7 @@
     }
     this.#deferred.delete(machine);
     machine.ejection = { since: now, until: now + EJECTION_MS, isConfirmed: false };
+    for (const job of evidence.jobs) if (!attribution.isSuspect(job)) endBackoff(job);
     this.#ctx.log("info", "machine ejected", logFields(machine, evidence));
     if (evidence.soundCount >= OUTLIER_MIN_JOBS) this.#confirm(machine, now, evidence);
   }
--- a/src/core/agents/task-outcome.ts
+++ b/src/core/agents/task-outcome.ts
@@ -3,7 +3,7 @@
 import type { ExitReason } from "../model/job-spec.js";
 import type { Placement } from "../model/placement.js";
 import type { RecordWriter } from "../store/record-writer.js";
-import { recordJobFailure } from "./job-backoff.js";
+import { recordJobFailure, recordJobSuccess } from "./job-backoff.js";
 import type { OutlierDetector } from "./outlier-detector.js";
 
 /** Backoff of a machine that refused a start because of missing capacity or an earlier attempt of the task. */
@@ -38,7 +38,7 @@
         machine.backoffUntil = this.#ctx.now + REFUSED_START_BACKOFF_MS;
         break;
       case "unknown":
-        job.backoffUntil = this.#ctx.now + UNKNOWN_JOB_BACKOFF_MS;
+        job.backoffUntil = Math.max(job.backoffUntil, this.#ctx.now + UNKNOWN_JOB_BACKOFF_MS);
         break;
       case "stopped":
       case "peers":
@@ -55,8 +55,7 @@
       ctx.estimates.observe(job.spec, (ctx.now - runningSince) / 1000);
     if (job.spec.shape === "gang") this.#markGangDone(job);
     else if (job.spec.shape === "array") job.markDone(task);
-    job.failures = 0;
-    job.succeededAt = ctx.now;
+    recordJobSuccess(job, ctx.now);
     this.#outliers.onTaskDone(machine);
   }
 
--- a/src/core/model/job.ts
+++ b/src/core/model/job.ts
@@ -26,6 +26,8 @@
   state: JobState = "active";
   /** After failures, no task of the job is placed before this time. */
   backoffUntil = 0;
+  /** How many times the next backoff after failures is doubled. */
+  backoffDoublings = 0;
   /** Until this time only jobs of the highest priority may preempt it, because it waited long before it started. */
   protectedUntil = 0;
   /** The pending reason as of the last scheduling round, as text for operators. */
--- a/test/support/agent-fleet.ts
+++ b/test/support/agent-fleet.ts
@@ -33,6 +33,7 @@
   fateOf: FateOf;
   readonly #harness: ControllerHarness;
   readonly #machines = new Map<string, Partial<Heartbeat>>();
+  readonly #done = new Map<string, number>();
   readonly #tasks = new Map<string, RunningTask[]>();
 
   /** Creates agents on the given machines, by name; each may differ from a small on-demand machine in zone a. */
@@ -88,6 +89,11 @@
       .sort();
   }
 
+  /** Returns how many tasks of a job were done. */
+  doneTasksOf(uid: string): number {
+    return this.#done.get(uid) ?? 0;
+  }
+
   #terminate(name: string): void {
     this.terminated.push(name);
     this.#machines.delete(name);
@@ -103,7 +109,8 @@
       const { status, fate, startedAt } = task;
       if (status.state !== "running" || !fate || this.#harness.now - startedAt < fate.afterMs) continue;
       task.status = { ...status, state: "ended", exitReason: fate.exitReason };
-      if (fate.exitReason === "error") this.failures.push({ uid: status.uid, machine: name });
+      if (fate.exitReason === "done") this.#done.set(status.uid, this.doneTasksOf(status.uid) + 1);
+      else this.failures.push({ uid: status.uid, machine: name });
     }
   }
 
