A job avoids a machine on which it has failed for half a minute, not for good

What callers saw: a job that had failed once on each of the two machines that it may run on was never placed again, in a cluster of twelve; a job that had failed once on a machine was never placed there again, though all others were full.

Cause: a job avoided each machine on which it had ever failed, unless these were half of all machines of the cluster, whatever their type, zone and kind. The evidence is one failed task, which the job, the machine or chance explains; nothing ended it, and most of the machines that made up the other half could not run the job.

Fix: the avoidance ends after 30 s, and it holds only while the job has not recently failed on most of the schedulable machines that it may run on.

--- a/src/core/scheduling/feasible-machines.ts
+++ b/src/core/scheduling/feasible-machines.ts
@@ -6,6 +6,9 @@
 import { type ExclusionReason, exclusionReasonOf } from "./exclusion-reasons.js";
 import type { GpuHeadroomGuard } from "./gpu-headroom-guard.js";
 
+/** For how long a job avoids a machine on which it has failed: well below the time that it may be left waiting. */
+const AVOIDANCE_MS = 30_000;
+
 /** Restricts a search to some of the feasible machines. */
 export type MachineFilter = (machine: Machine) => boolean;
 
@@ -101,7 +104,7 @@
     for (const machine of machines) {
       if (!machine.hasCapacityFor(job.spec.need, preemptibleBelow) || !mayRunOn(job.spec, machine)) continue;
       if (this.#isReservedForOther(job, machine) || this.wouldWasteGpus(job, machine)) continue;
-      if (this.#hasFailedOn(job, machine) || this.#wouldSlowFetch(job, machine))
+      if (this.#shouldAvoid(job, machine) || this.#wouldSlowFetch(job, machine))
         this.wasSearchJobSpecific = true;
       else found.push(machine);
     }
@@ -131,9 +134,30 @@
     );
   }
 
-  /** True if the job failed here. Ignored after failures on half of all machines: the job is at fault then. */
-  #hasFailedOn(job: Job, machine: Machine): boolean {
-    return job.failedOn.has(machine) && job.failedOn.size < this.#clusterState.machines.size / 2;
+  /** True if the job has recently failed here, and there are enough machines to try on which it has not. */
+  #shouldAvoid(job: Job, machine: Machine): boolean {
+    return this.#hasRecentlyFailedOn(job, machine) && this.#hasMachinesToTry(job);
+  }
+
+  #hasRecentlyFailedOn(job: Job, machine: Machine): boolean {
+    const failedAt = job.failedOn.get(machine);
+    return failedAt !== undefined && this.#ctx.now - failedAt < AVOIDANCE_MS;
+  }
+
+  /** True if the job has not recently failed on most of the schedulable machines that it may run on. */
+  #hasMachinesToTry(job: Job): boolean {
+    let untried = 0;
+    let failed = 0;
+    for (const machines of this.#schedulableByType.values()) {
+      const type = machines[0]?.type;
+      if (!type || !fitsMachineType(job.spec, type)) continue;
+      for (const machine of machines) {
+        if (!mayRunOn(job.spec, machine)) continue;
+        if (this.#hasRecentlyFailedOn(job, machine)) failed++;
+        else if (++untried > job.failedOn.size) return true;
+      }
+    }
+    return untried > failed;
   }
 
   /** True if this job's image fetch would compete for bandwidth with that of a higher-priority gang. */
--- a/test/job-backoff.test.ts
+++ b/test/job-backoff.test.ts
@@ -70,6 +70,48 @@
   assert.ok(doneAfterMs !== null && doneAfterMs <= 15_000, `done after ${doneAfterMs} ms`);
 });
 
+test("a job that has failed on all machines that it may run on is tried there again", () => {
+  // Failure guarded against (left waiting): a job avoided each machine on which it had ever failed, unless these were half
+  // of all machines of the cluster; one failure on each of the two that it may run on kept it off both for good.
+  const harness = new ControllerHarness().becomeLeader();
+  const machines = { ...TEN_MACHINES, G0: { type: "gpu" }, G1: { type: "gpu" } };
+  const tried = new Set<string>();
+  const fleet = new AgentFleet(harness, machines, (_, machine) => {
+    if (tried.has(machine)) return IS_DONE;
+    tried.add(machine);
+    return FAILS;
+  });
+  harness.admin({ kind: "changeSettings", values: { idle_s: 3600 } });
+  harness.submit(jobSpec("j-1", { types: ["gpu"], need: { cpu: 4000, gpu: 1000, ram: 1000 } }));
+  const doneAfterMs = fleet.runUntil(() => fleet.doneTasksOf("j-1") === 1, 90_000);
+  assert.ok(doneAfterMs !== null, "it is done");
+  assert.deepEqual([...tried], ["G0", "G1"]);
+});
+
+test("a job does not wait beside a free machine because it has failed there once, while all others are full", () => {
+  // Failure guarded against (left waiting): nothing ended the avoidance of a machine.
+  const harness = new ControllerHarness().becomeLeader();
+  let hasFailed = false;
+  const fleet = new AgentFleet(harness, TEN_MACHINES, (uid) => {
+    if (uid !== "j-1") return null;
+    if (hasFailed) return IS_DONE;
+    hasFailed = true;
+    return FAILS;
+  });
+  for (const [uid, team, tasks] of [
+    ["j-red", "red", 6],
+    ["j-blue", "blue", 3],
+  ] as const)
+    harness.submit(jobSpec(uid, { team, tasks, need: { cpu: 4000, gpu: 0, ram: 100 }, estimateS: 600 }));
+  assert.notEqual(
+    fleet.runUntil(() => fleet.machinesOf("j-red").length + fleet.machinesOf("j-blue").length === 9, 20_000),
+    null,
+  );
+  harness.submit(jobSpec("j-1", { team: "blue" }));
+  const doneAfterMs = fleet.runUntil(() => fleet.doneTasksOf("j-1") === 1, 90_000);
+  assert.ok(doneAfterMs !== null, "it is done");
+});
+
 test("a service whose replicas have run for longer than the longest backoff does not inherit the backoff of earlier failures", () => {
   // Failure guarded against (left waiting): the failures of a service were never forgotten, as none of its tasks is ever
   // done, so that in the end each failure of a replica kept all pending replicas off for a minute.
