A machine terminated as faulty counts towards the ejection share at once

Cause: the limit learned of a terminated outlier at the next tick of the detector. The machine leaves the cluster state when the cloud has answered, up to 500 ms earlier; an outlier found in between was ejected on top of the limit.

--- a/src/core/agents/outlier-detector.ts
+++ b/src/core/agents/outlier-detector.ts
@@ -72,6 +72,11 @@
     const attribution = new FailureAttribution(this.#cluster, this.#ctx.now);
     for (const machine of this.#cluster.machines.values())
       if (machine.failedJobs.size > 0 || machine.ejection) this.#evaluate(machine, attribution);
+    this.#recordTerminations();
+  }
+
+  /** Tells the limit which confirmed outliers are being terminated. */
+  #recordTerminations(): void {
     for (const machine of this.#confirmed) {
       if (machine.phase !== "releasing") continue;
       this.#confirmed.delete(machine);
@@ -105,6 +110,8 @@
 
   #eject(machine: Machine, evidence: Evidence, attribution: FailureAttribution): void {
     const { now } = this.#ctx;
+    // A machine may have been terminated since the last tick.
+    this.#recordTerminations();
     if (!this.#limit.allows(machine, now) && !this.#makeRoomFor(machine, evidence, attribution)) {
       this.#logDeferred(machine, evidence);
       return;
