A boot counts as timed out only after the leader could have heard of it

Cause: a machine of which the leader has heard nothing was taken for one that never booted, by its age alone. Equally it may be up and about to report for the first time to this leader, or be unable to reach it. Nothing limited how many; other silent machines are kept in both cases.

Fix: the timeout also needs the silence after which any other machine is terminated, two agent leases since the election, and it doesn't apply while heartbeats of its zone, or of most machines, fail to arrive. Under a leader that has led for longer than that, a stuck machine is terminated as soon as before.

--- a/src/core/autoscaling/machine-reaper.ts
+++ b/src/core/autoscaling/machine-reaper.ts
@@ -3,7 +3,13 @@
 import type { LeaderLease } from "../model/leader-lease.js";
 import { type Machine, mayRunOn } from "../model/machine.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
-import { type ClusterHealth, isSilent, machineKindOf, terminationReasonFor } from "./termination-rules.js";
+import {
+  type ClusterHealth,
+  hasBootTimedOut,
+  isSilent,
+  machineKindOf,
+  terminationReasonFor,
+} from "./termination-rules.js";
 
 /** The boot time assumed for a machine of unknown type. */
 const UNKNOWN_BOOT_S = 60;
@@ -45,7 +51,7 @@
     for (const machine of this.#cluster.machines.values()) {
       switch (machine.phase) {
         case "booting":
-          this.#checkBootTimeout(machine);
+          this.#checkBootTimeout(machine, health);
           break;
         case "up": {
           this.#updateIdleSince(machine);
@@ -59,11 +65,10 @@
     }
   }
 
-  #checkBootTimeout(machine: Machine): void {
-    const { now, settings } = this.#ctx;
+  #checkBootTimeout(machine: Machine, health: ClusterHealth): void {
     const bootS = machine.type?.bootS ?? UNKNOWN_BOOT_S;
-    if (now - machine.createdAt > bootS * settings.boot_factor * 1000)
-      this.markForTermination(machine, "boot timed out");
+    const bootTimeoutMs = bootS * this.#ctx.settings.boot_factor * 1000;
+    if (hasBootTimedOut(machine, health, bootTimeoutMs)) this.markForTermination(machine, "boot timed out");
   }
 
   #updateIdleSince(machine: Machine): void {
--- a/src/core/autoscaling/termination-rules.ts
+++ b/src/core/autoscaling/termination-rules.ts
@@ -51,6 +51,21 @@
   return rule ? rule.reason : null;
 }
 
+/**
+ * True if a machine that has sent no heartbeat yet should have booted by now. A machine that an earlier leader created may
+ * be up already: a new leader waits for its heartbeat as long as for that of any other silent machine.
+ *
+ * @param machine The machine.
+ * @param health The inputs of the termination rules.
+ * @param bootTimeoutMs The longest time from the creation of the machine until it is up.
+ */
+export function hasBootTimedOut(machine: Machine, health: ClusterHealth, bootTimeoutMs: number): boolean {
+  const { now, electedAt, leaseMs } = health;
+  const silenceMs = now - Math.max(machine.createdAt, electedAt);
+  if (isKeptDuringPartition(machine, health, silenceMs)) return false;
+  return now - machine.createdAt > bootTimeoutMs && silenceMs > UNRESPONSIVE_LEASES * leaseMs;
+}
+
 /** True if the time without a heartbeat is too long for a working machine. */
 export function isSilent(silenceMs: number, silentAfterMs: number): boolean {
   return silenceMs > silentAfterMs;
