A refused start keeps similar starts off the machine, not every job

What callers saw: a job waited beside a free machine as long as a larger job of higher priority was pending whose starts the machine's agent refused.

Cause: a start refused as `no_room` or `busy` took the machine out of scheduling for two seconds, for all jobs. When that was over the same job was tried first, and refused again. The refusal is evidence about that start: `busy` about one task, `no_room` about tasks that need as much; the leader's view of that machine may be wrong by little.

Fix: the machine remembers refused starts for two seconds. The job itself, and after `no_room` jobs that need at least as much, are not placed there meanwhile. The exclusion reason start_refused is gone with it.

--- a/src/core/agents/task-outcome.ts
+++ b/src/core/agents/task-outcome.ts
@@ -1,12 +1,13 @@
 import type { Context } from "../context.js";
 import type { Job } from "../model/job.js";
 import type { ExitReason } from "../model/job-spec.js";
+import type { Machine } from "../model/machine.js";
 import type { Placement } from "../model/placement.js";
 import type { RecordWriter } from "../store/record-writer.js";
 import { recordJobFailure, recordJobSuccess } from "./job-backoff.js";
 import type { OutlierDetector } from "./outlier-detector.js";
 
-/** Backoff of a machine that refused a start because of missing capacity or an earlier attempt of the task. */
+/** For how long similar starts are not tried on a machine that refused one for lack of capacity or an earlier attempt. */
 const REFUSED_START_BACKOFF_MS = 2000;
 /** Backoff of a job that is unknown to an agent. */
 const UNKNOWN_JOB_BACKOFF_MS = 1000;
@@ -35,7 +36,7 @@
         break;
       case "no_room":
       case "busy":
-        machine.backoffUntil = this.#ctx.now + REFUSED_START_BACKOFF_MS;
+        this.#recordRefusedStart(job, machine, cause === "no_room");
         break;
       case "unknown":
         job.backoffUntil = Math.max(job.backoffUntil, this.#ctx.now + UNKNOWN_JOB_BACKOFF_MS);
@@ -48,6 +49,13 @@
     }
   }
 
+  /** A refusal is evidence about this start only: smaller tasks of other jobs may still fit. */
+  #recordRefusedStart(job: Job, machine: Machine, isForCapacity: boolean): void {
+    const { now } = this.#ctx;
+    machine.refusedStarts = machine.refusedStarts.filter(({ until }) => until > now);
+    machine.refusedStarts.push({ job, isForCapacity, until: now + REFUSED_START_BACKOFF_MS });
+  }
+
   #applyCompletion({ job, machine, task, runningSince }: Placement): void {
     const ctx = this.#ctx;
     // A task that may have resumed from a checkpoint is not observed: it may have run for only a part of its duration.
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -46,6 +46,14 @@
   readonly isConfirmed: boolean;
 }
 
+/** A start that an agent refused; until the given time, similar ones are not tried. */
+export interface RefusedStart {
+  readonly job: Job;
+  /** True if the machine had no room for the task: jobs that need at least as much are kept off too. */
+  readonly isForCapacity: boolean;
+  readonly until: number;
+}
+
 /** Location and type of a machine, from its agent's heartbeat or from the cloud. */
 export interface MachineOrigin {
   /** Address of the agent; empty if not known yet. */
@@ -118,8 +126,8 @@
   reservation: Reservation | null = null;
   /** Since when its allocated CPU share has been low enough for its replicas to be migrated away. */
   underutilizedSince: number | null = null;
-  /** After a refused start, no task is placed here before this time. */
-  backoffUntil = 0;
+  /** Recent starts that its agent refused; expired ones are removed with the next. */
+  refusedStarts: RefusedStart[] = [];
   /** Number of failed tasks since a task was last done here. */
   failures = 0;
   /** When a task of each job last failed here, since a task was last done here. */
@@ -147,6 +155,15 @@
     this.createdAt = createdAt;
   }
 
+  /** True if a start of the job was refused recently, or one that needed no more than it. */
+  wouldRefuse(job: Job, now: number): boolean {
+    return this.refusedStarts.some(
+      (refused) =>
+        refused.until > now &&
+        (refused.job === job || (refused.isForCapacity && fits(refused.job.spec.need, job.spec.need))),
+    );
+  }
+
   /**
    * True if a task fits in the free capacity.
    *
--- a/src/core/scheduling/exclusion-reasons.ts
+++ b/src/core/scheduling/exclusion-reasons.ts
@@ -21,7 +21,6 @@
   | "not_fenced"
   | "unreachable"
   | "interruption_notice"
-  | "start_refused"
   | "no_recent_heartbeat";
 
 /**
@@ -41,7 +40,6 @@
   if (machine.fencedAt === null) return "not_fenced";
   if (machine.unreachableSince !== null) return "unreachable";
   if (machine.reclaimDueAt !== null) return "interruption_notice";
-  if (machine.backoffUntil > now) return "start_refused";
   const recentMs = deployment.heartbeatIntervalS * RECENT_HEARTBEAT_MS_PER_INTERVAL_S;
   return now - machine.heartbeatAt < recentMs + RECENT_HEARTBEAT_MARGIN_MS ? null : "no_recent_heartbeat";
 }
--- a/src/core/scheduling/feasible-machines.ts
+++ b/src/core/scheduling/feasible-machines.ts
@@ -104,7 +104,11 @@
     for (const machine of machines) {
       if (!machine.hasCapacityFor(job.spec.need, preemptibleBelow) || !mayRunOn(job.spec, machine)) continue;
       if (this.#isReservedForOther(job, machine) || this.wouldWasteGpus(job, machine)) continue;
-      if (this.#shouldAvoid(job, machine) || this.#wouldSlowFetch(job, machine))
+      if (
+        machine.wouldRefuse(job, this.#ctx.now) ||
+        this.#shouldAvoid(job, machine) ||
+        this.#wouldSlowFetch(job, machine)
+      )
         this.wasSearchJobSpecific = true;
       else found.push(machine);
     }
--- a/test/support/agent-fleet.ts
+++ b/test/support/agent-fleet.ts
@@ -7,7 +7,7 @@
 
 /** What becomes of a task that runs on a machine, and after how long. */
 export interface TaskFate {
-  readonly exitReason: "done" | "error";
+  readonly exitReason: "done" | "error" | "no_room" | "busy";
   readonly afterMs: number;
 }
 
@@ -110,7 +110,7 @@
       if (status.state !== "running" || !fate || this.#harness.now - startedAt < fate.afterMs) continue;
       task.status = { ...status, state: "ended", exitReason: fate.exitReason };
       if (fate.exitReason === "done") this.#done.set(status.uid, this.doneTasksOf(status.uid) + 1);
-      else this.failures.push({ uid: status.uid, machine: name });
+      if (fate.exitReason === "error") this.failures.push({ uid: status.uid, machine: name });
     }
   }
 
