A machine whose interruption notice is withdrawn gets tasks again

What callers saw: jobs waited beside a spot machine that had reported an interruption notice and was not reclaimed.

Cause: the notice took the machine out of scheduling and evicted its tasks; later heartbeats without the notice were ignored, so nothing ended it but the machine's end.

Evidence: the new test failed before (not started in 90 s).

Fix: the notice holds as long as heartbeats report it, which is what the protocol says of the field.

--- a/src/core/agents/heartbeat-intake.ts
+++ b/src/core/agents/heartbeat-intake.ts
@@ -121,7 +121,10 @@
   }
 
   #recordInterruptionNotice(machine: Machine, { interruptionNoticeS }: Heartbeat): void {
-    if (interruptionNoticeS === null) return;
+    if (interruptionNoticeS === null) {
+      this.#withdrawInterruptionNotice(machine);
+      return;
+    }
     if (machine.reclaimDueAt === null) {
       this.#ctx.log("info", "interruption notice received", {
         machine: machine.name,
@@ -132,6 +135,14 @@
     machine.reclaimDueAt = this.#ctx.now + interruptionNoticeS * 1000;
   }
 
+  /** A newer heartbeat without the notice shows that the machine is not about to be reclaimed any more. */
+  #withdrawInterruptionNotice(machine: Machine): void {
+    if (machine.reclaimDueAt === null) return;
+    machine.reclaimDueAt = null;
+    this.#ctx.log("info", "interruption notice withdrawn", { machine: machine.name });
+    this.#onCapacityChanged();
+  }
+
   /** In a large cluster most heartbeats equal the previous one; for these only the comparison is done. */
   #storeAndReconcile(machine: Machine, heartbeat: Heartbeat): void {
     const { heartbeat: previous } = machine;
--- a/test/spot-interruption.test.ts
+++ b/test/spot-interruption.test.ts
@@ -2,6 +2,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { AgentFleet } from "./support/agent-fleet.js";
 import { ControllerHarness, jobSpec, type TaskStatus } from "./support/controller-harness.js";
 import { executeCommands, liveTasks } from "./support/scripted-agents.js";
 
@@ -28,3 +29,16 @@
   harness.advance(500);
   assert.deepEqual(harness.startCommands("j-3"), []);
 });
+
+test("a machine whose agent no longer reports an interruption notice gets tasks again", () => {
+  // Failure guarded against (left waiting): nothing ended the exclusion of a machine that was not reclaimed after all.
+  const harness = new ControllerHarness().becomeLeader();
+  const fleet = new AgentFleet(harness, { A: { spot: true, interruptionNoticeS: 12 } }, () => null);
+  harness.submit(jobSpec("j-1", { spot: true }));
+  fleet.runFor(5000);
+  assert.deepEqual(fleet.starts, []);
+
+  fleet.update("A", { spot: true });
+  const startedAfterMs = fleet.runUntil(() => fleet.machinesOf("j-1").length === 1, 90_000);
+  assert.ok(startedAfterMs !== null && startedAfterMs <= 3000, `started after ${startedAfterMs} ms`);
+});
--- a/test/support/agent-fleet.ts
+++ b/test/support/agent-fleet.ts
@@ -57,6 +57,11 @@
     this.#tasks.set(name, []);
   }
 
+  /** Replaces the fields in which the heartbeats of an agent differ from those of a small on-demand machine. */
+  update(name: string, overrides: Partial<Heartbeat>): void {
+    this.#machines.set(name, overrides);
+  }
+
   /** Advances the clock; the agents report and execute commands meanwhile. */
   runFor(forMs: number): void {
     for (let passedMs = 0; passedMs < forMs; passedMs += STEP_MS) {
