--- a/src/core/migration/migration-planner.ts
+++ b/src/core/migration/migration-planner.ts
@@ -6,6 +6,7 @@
 import { add, fits } from "../model/resources.js";
 import { weightedIndex } from "../random.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
+import { zonesAllowMove } from "../scheduling/zone-spread.js";
 
 /** Score bonus for a machine that already has the image; breaks ties between machines of equal share. */
 const IMAGE_PRESENT_BONUS = 1e-6;
@@ -133,16 +134,9 @@
     const free = add(machine.freeCapacity(), need, -plannedReplicas);
     const share = machine.allocatedCpuShare() + (need.cpu * plannedReplicas) / machineCpu;
     if (!fits(need, free) || share + need.cpu / machineCpu >= settings.move_high) return null;
-    if (!zonesAllowMigration(job, from, machine)) return null;
+    if (!zonesAllowMove(job, from, machine)) return null;
     // If the image is present, less time passes between the end of the old copy and the start of the new one.
     const cachedImage = machine.images.get(image);
     return share + (cachedImage && cachedImage.readyAt <= now ? IMAGE_PRESENT_BONUS : 0);
   }
 }
-
-/** True if the job's zone constraints (a single zone, or spread across zones) still hold after the migration. */
-export function zonesAllowMigration(job: Job, from: Machine, to: Machine): boolean {
-  if (from.zone === to.zone) return true;
-  if (job.spec.oneZone && job.placements.size > 1) return false;
-  return !job.spec.spread || job.countInZone(to.zone) + 1 <= Math.ceil(job.spec.tasks / 2);
-}
--- a/src/core/migration/replica-migration.ts
+++ b/src/core/migration/replica-migration.ts
@@ -7,9 +7,10 @@
 import type { Placement } from "../model/placement.js";
 import { add, fits, NO_RESOURCES } from "../model/resources.js";
 import type { Scheduler } from "../scheduling/scheduler.js";
+import { zonesAllowMove } from "../scheduling/zone-spread.js";
 import type { RecordWriter } from "../store/record-writer.js";
 import { type MigrationRecord, readMigration } from "../store/records.js";
-import { type MigrationPlan, MigrationPlanner, zonesAllowMigration } from "./migration-planner.js";
+import { type MigrationPlan, MigrationPlanner } from "./migration-planner.js";
 
 /** A migration is abandoned if one of its phases takes longer than this. */
 const PHASE_TIMEOUT_MS = 120_000;
@@ -233,7 +234,7 @@
       this.#scheduler.feasibleMachines.isSchedulable(to) &&
       fits(job.spec.need, to.freeCapacity()) &&
       this.#scheduler.tasksWithinQuota(job) > 0 &&
-      zonesAllowMigration(job, from, to) &&
+      zonesAllowMove(job, from, to) &&
       !job.placements.has(record.task)
     );
   }
--- a/test/outlier-detection.test.ts
+++ b/test/outlier-detection.test.ts
@@ -254,3 +254,42 @@
     `${fleet.terminated}`,
   );
 });
+
+test("a replica leaves a faulty machine only when there is room for it elsewhere", () => {
+  // Failure guarded against (replicas down): the replicas on a machine found to be faulty were stopped although no other
+  // machine had room for them and the cloud had none to give.
+  const harness = new ControllerHarness().becomeLeader();
+  const fleet = new AgentFleet(harness, { A: {}, B: {} }, (uid, machine) => {
+    if (uid === "j-long" || uid === "j-service") return RUNS_LONG;
+    return machine === "A" ? FAILS : { exitReason: "done", afterMs: 3000 };
+  });
+  harness.submit(jobSpec("j-long", { team: "blue", need: { cpu: 3000, gpu: 0, ram: 100 }, estimateS: 600 }));
+  fleet.runUntil(() => fleet.machinesOf("j-long").length === 1, 5000);
+  harness.submit(
+    jobSpec("j-service", { shape: "service", priority: 3, need: { cpu: 2000, gpu: 0, ram: 100 } }),
+  );
+  fleet.runUntil(() => fleet.machinesOf("j-service").length === 1, 5000);
+  const [faulty = ""] = fleet.machinesOf("j-service");
+  assert.equal(faulty, fleet.machinesOf("j-long")[0] === "A" ? "B" : "A");
+  fleet.fateOf = (_, machine) => (machine === faulty ? FAILS : { exitReason: "done", afterMs: 3000 });
+  for (const uid of ["j-1", "j-2"])
+    harness.submit(jobSpec(uid, { tasks: 4, need: { cpu: 500, gpu: 0, ram: 100 } }));
+  assert.notEqual(
+    fleet.runUntil(() => exclusionOf(harness, faulty) === "faulty", 60_000),
+    null,
+  );
+  for (let second = 0; second < 90; second++) {
+    fleet.runFor(1000);
+    assert.equal(fleet.machinesOf("j-service").length, 1, `after ${second} s`);
+  }
+
+  fleet.fateOf = () => RUNS_LONG;
+  harness.cancel("j-long");
+  const movedAfterMs = fleet.runUntil(
+    () => fleet.machinesOf("j-service").length === 1 && fleet.machinesOf("j-service")[0] !== faulty,
+    30_000,
+  );
+  assert.ok(movedAfterMs !== null && movedAfterMs <= 5000, `moved after ${movedAfterMs} ms`);
+  fleet.runFor(5000);
+  assert.deepEqual(fleet.terminated, [faulty]);
+});
