Terminations of faulty machines have a limit of their own beside the ejection share

In a small site a second machine that became faulty within five minutes of the first one's termination was not ejected: every job that was placed there failed. Before outlier detection it was found at its second failed job.

Cause: a terminated faulty machine that was not replaced counted towards the maximum ejection share, which is one machine there.

Ejected machines count for the ejection share; those terminated as faulty and not replaced yet, for at most five minutes, for the limit of terminations. A confirmed faulty machine beyond that stays ejected and is kept. The limit is asked and counted in one step, so the gap of 500 ms can't come back.

--- a/src/core/agents/outlier-detector.ts
+++ b/src/core/agents/outlier-detector.ts
@@ -1,7 +1,7 @@
 import type { Context } from "../context.js";
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Job } from "../model/job.js";
-import type { Machine } from "../model/machine.js";
+import type { Ejection, Machine } from "../model/machine.js";
 import { EjectionLimit } from "./ejection-limit.js";
 import { FailureAttribution, MACHINE_EVIDENCE_MS } from "./failure-attribution.js";
 import { backOffIfSuspect, endBackoff } from "./job-backoff.js";
@@ -34,8 +34,6 @@
   readonly #cluster: ClusterState;
   readonly #limit: EjectionLimit;
   readonly #onReadmitted: () => void;
-  /** Confirmed outliers that are not terminated yet. */
-  readonly #confirmed = new Set<Machine>();
   /** Outliers that the limit keeps in use, each logged once. */
   readonly #deferred = new Set<Machine>();
 
@@ -72,16 +70,6 @@
     const attribution = new FailureAttribution(this.#cluster, this.#ctx.now);
     for (const machine of this.#cluster.machines.values())
       if (machine.failedJobs.size > 0 || machine.ejection) this.#evaluate(machine, attribution);
-    this.#recordTerminations();
-  }
-
-  /** Tells the limit which confirmed outliers are being terminated. */
-  #recordTerminations(): void {
-    for (const machine of this.#confirmed) {
-      if (machine.phase !== "releasing") continue;
-      this.#confirmed.delete(machine);
-      this.#limit.onFaultyTerminated(machine, this.#ctx.now);
-    }
   }
 
   #evaluate(machine: Machine, attribution: FailureAttribution): void {
@@ -92,12 +80,22 @@
       else this.#deferred.delete(machine);
     } else if (evidence.jobs.length < OUTLIER_MIN_JOBS) {
       this.#readmit(machine, "its failures are no longer evidence against it");
-    } else if (!ejection.isConfirmed) {
-      if (evidence.soundCount >= OUTLIER_MIN_JOBS) this.#confirm(machine, ejection.since, evidence);
-      else if (this.#ctx.now >= ejection.until) this.#endUnconfirmed(machine);
+    } else if (ejection.isConfirmed) {
+      this.#allowTermination(machine, ejection);
+    } else if (evidence.soundCount >= OUTLIER_MIN_JOBS) {
+      this.#confirm(machine, ejection.since, evidence);
+    } else if (this.#ctx.now >= ejection.until) {
+      this.#endUnconfirmed(machine);
     }
   }
 
+  /** Lets an empty faulty machine be terminated, unless too many terminated ones have not been replaced yet. */
+  #allowTermination(machine: Machine, ejection: Ejection): void {
+    const isInUse = machine.mode !== "open" || machine.phase !== "up" || machine.placements.size > 0;
+    if (isInUse || ejection.mayTerminate || !this.#limit.tryTerminate(machine, this.#ctx.now)) return;
+    machine.ejection = { ...ejection, mayTerminate: true };
+  }
+
   /** Returns the evidence on a machine, without failures that are long ago. */
   #evidenceOn(machine: Machine, attribution: FailureAttribution): Evidence {
     const jobs: Job[] = [];
@@ -110,14 +108,12 @@
 
   #eject(machine: Machine, evidence: Evidence, attribution: FailureAttribution): void {
     const { now } = this.#ctx;
-    // A machine may have been terminated since the last tick.
-    this.#recordTerminations();
-    if (!this.#limit.allows(machine, now) && !this.#makeRoomFor(machine, evidence, attribution)) {
+    if (!this.#limit.mayEject(machine) && !this.#makeRoomFor(machine, evidence, attribution)) {
       this.#logDeferred(machine, evidence);
       return;
     }
     this.#deferred.delete(machine);
-    machine.ejection = { since: now, until: now + EJECTION_MS, isConfirmed: false };
+    machine.ejection = { since: now, until: now + EJECTION_MS, isConfirmed: false, mayTerminate: false };
     for (const job of evidence.jobs) if (!attribution.isSuspect(job)) endBackoff(job);
     this.#ctx.log("info", "machine ejected", logFields(machine, evidence));
     if (evidence.soundCount >= OUTLIER_MIN_JOBS) this.#confirm(machine, now, evidence);
@@ -130,7 +126,7 @@
       if (!ejection || ejection.isConfirmed) continue;
       if (!isStronger(evidence, this.#evidenceOn(other, attribution))) continue;
       other.ejection = null;
-      const isAllowed = this.#limit.allows(machine, this.#ctx.now);
+      const isAllowed = this.#limit.mayEject(machine);
       other.ejection = ejection;
       if (!isAllowed) continue;
       this.#readmit(other, "the evidence against another machine is stronger");
@@ -140,8 +136,8 @@
   }
 
   #confirm(machine: Machine, since: number, evidence: Evidence): void {
-    machine.ejection = { since, until: Number.POSITIVE_INFINITY, isConfirmed: true };
-    this.#confirmed.add(machine);
+    const until = Number.POSITIVE_INFINITY;
+    machine.ejection = { since, until, isConfirmed: true, mayTerminate: false };
     this.#ctx.log("info", "faulty machine drained", logFields(machine, evidence));
   }
 
@@ -158,7 +154,6 @@
       ejected_ms: Math.round(this.#ctx.now - (machine.ejection?.since ?? this.#ctx.now)),
     });
     machine.ejection = null;
-    this.#confirmed.delete(machine);
     this.#onReadmitted();
   }
 
--- a/src/core/autoscaling/termination-rules.ts
+++ b/src/core/autoscaling/termination-rules.ts
@@ -109,8 +109,8 @@
   return machine.spot || (machine.reclaimDueAt !== null && now > machine.reclaimDueAt);
 }
 
-function isFaultyAndEmpty({ mode, isDraining, placements }: Machine): boolean {
-  return isDraining && mode === "open" && placements.size === 0;
+function isFaultyAndEmpty({ mode, ejection, placements }: Machine): boolean {
+  return mode === "open" && ejection?.mayTerminate === true && placements.size === 0;
 }
 
 function isDrained({ mode, placements }: Machine): boolean {
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -42,8 +42,10 @@
   readonly since: number;
   /** When it ends unless it is confirmed. */
   readonly until: number;
-  /** True once the jobs are known to succeed on other machines: the machine is drained and terminated. */
+  /** True once the jobs are known to succeed on other machines: tasks are evicted. */
   readonly isConfirmed: boolean;
+  /** True once it is empty and may be terminated. */
+  readonly mayTerminate: boolean;
 }
 
 /** A start that an agent refused; until the given time, similar ones are not tried. */
