Simulated cluster: jobs with a mistake, faulty machines, and a cloud without capacity

Cause: the simulated cluster had neither jobs that fail everywhere nor machines that fail every job, so nothing there could tell one from the other.

Change: four scenarios draw them, one with a cloud that creates nothing meanwhile, one with crashing controllers and hanging agents. A check of its own asks each leader every second: no ejection beyond a fifth of the machines (one at least), no sound machine out for more than 65 s, and a faulty machine out within 5 s of the second sound job's failure on it, unless the ejection share is used. Tasks on faulty machines don't count as room in the check of jobs left waiting.

--- a/test/model/fault-rates.ts
+++ b/test/model/fault-rates.ts
@@ -38,6 +38,12 @@
   readonly settingsChange: number;
   /** Fraction of jobs that are cancelled at the moment they finish. */
   readonly cancelAtCompletion: number;
+  /** A machine becomes faulty: from then on every task that starts on it fails. */
+  readonly faultyMachine: number;
+  /** Fraction of jobs that are submitted with a mistake: they fail on every machine until their user cancels them. */
+  readonly mistakenJob: number;
+  /** The cloud creates no machines while faults are injected. */
+  readonly fullCloud: boolean;
   /** Controllers start with the previous version and are upgraded one by one; then the store's limits are lowered. */
   readonly upgrade: boolean;
 }
@@ -60,5 +66,8 @@
   compoundFault: 0,
   settingsChange: 0,
   cancelAtCompletion: 0,
+  faultyMachine: 0,
+  mistakenJob: 0,
+  fullCloud: false,
   upgrade: false,
 };
--- a/test/model/faults.ts
+++ b/test/model/faults.ts
@@ -50,7 +50,9 @@
     if (simulation.chance(faultRates.outage))
       this.#targets.store.startOutage(simulation.between(2000, 20_000));
     if (machine) this.#injectIntoMachine(machine);
-    // No draw without this fault: the recorded digests of the other scenarios depend on their draws.
+    // No draws without these faults: the recorded digests of the other scenarios depend on their draws.
+    if (machine && faultRates.faultyMachine > 0 && simulation.chance(faultRates.faultyMachine))
+      machine.isFaulty = true;
     if (faultRates.settingsChange > 0 && simulation.chance(faultRates.settingsChange))
       this.#settingsChanges.begin();
   }
--- a/test/model/machines.ts
+++ b/test/model/machines.ts
@@ -12,6 +12,8 @@
   saved: boolean;
   /** When the current state ends: image fetched, gang wait timed out, work done, or checkpoint written. */
   stateEndsAt: number;
+  /** When it fails, if it runs until then. */
+  failsAt: number;
 }
 
 /** The actual state of a cloud machine and its agent, against which the controllers are checked. */
@@ -49,6 +51,12 @@
   pendingHeartbeat: number;
   /** When the cloud reclaims the machine; null without an interruption notice. */
   reclaimAt: number | null;
+  /** True once it is faulty: every task that starts on it fails. */
+  isFaulty: boolean;
+  /** Jobs without a mistake that have failed on it since a task was last done on it or its leader could forget them. */
+  readonly failedSoundJobs: Set<string>;
+  /** When a task was last done on it. */
+  lastDoneAt: number;
   /** Images cached on the machine. */
   readonly images: Set<string>;
 }
@@ -98,6 +106,9 @@
     nextHeartbeatAt: 0,
     pendingHeartbeat: 0,
     reclaimAt: null,
+    isFaulty: false,
+    failedSoundJobs: new Set(),
+    lastDoneAt: Number.NEGATIVE_INFINITY,
     images: new Set(),
   };
 }
--- a/test/model/model-cluster.ts
+++ b/test/model/model-cluster.ts
@@ -9,6 +9,7 @@
 import { Faults } from "./faults.js";
 import { SubmittedJobs } from "./jobs.js";
 import type { SimulatedMachine } from "./machines.js";
+import { OutlierCheck } from "./outlier-check.js";
 import { PeerNetwork } from "./peer-network.js";
 import { RuleChecks, type Violation } from "./rule-checks.js";
 import { RunningTasks } from "./running-tasks.js";
@@ -55,6 +56,7 @@
   readonly storeNetwork: StoreNetwork;
   readonly agents: Agents;
   readonly cloud: Cloud;
+  readonly outliers: OutlierCheck;
   readonly users: Users;
   readonly faults: Faults;
   readonly #peerNetwork: PeerNetwork;
@@ -76,6 +78,7 @@
     this.log = new ControllerLog(simulation);
     const rules = new RuleChecks({ ...shared, runningTasks, teams: controllers.teams });
     this.rules = rules;
+    this.outliers = new OutlierCheck({ ...shared, onViolation: (rule, text) => rules.report(rule, text) });
     this.users = new Users({ ...shared, rules });
     this.storeNetwork = new StoreNetwork(simulation, controllers, store);
     const agents = new Agents({
--- a/test/model/users.ts
+++ b/test/model/users.ts
@@ -70,6 +70,18 @@
     this.#trySubmit(job, MAX_RETRIES);
   }
 
+  /** Submits a job with a mistake, which its user notices and cancels after `cancelAfterMs`. */
+  submitMistaken(spec: JobSpec, cancelAfterMs: number): void {
+    const job = newJob(spec, this.#simulation.now, true);
+    this.#jobs.set(spec.uid, job);
+    this.#trySubmit(job, MAX_RETRIES);
+    const cancel = () => {
+      if (job.acceptedAt === null) this.#simulation.after(RETRY_MS, cancel);
+      else this.cancel(spec.uid);
+    };
+    this.#simulation.after(cancelAfterMs, cancel);
+  }
+
   /**
    * Submits the stages of a pipeline, each as soon as its dependencies are accepted. If `afterDependenciesEnd` is set,
    * the first stage waits until its dependencies are confirmed done or their cancellation is requested.
