A gang that cannot fit in the cluster any more reserves no machines

Cause: a pending gang reserves, in every round, each machine on which one of its tasks would fit. That the rest of it has no place is the same evidence whether machines are busy, which a reservation helps against, or there are too few of them, which it doesn't. Nothing ended it.

Fix: machines are reserved for a gang only if all present and booting machines that may take it, were they empty, would hold all of its tasks under its zone constraints (GangCapacity, computed once per round and demand). When a machine is added the gang reserves again and is placed; the test shows that too.

Not mended: a gang that would fit, but waits for machines full of work that it may not preempt, still keeps others off.

--- a/src/core/scheduling/scheduler.ts
+++ b/src/core/scheduling/scheduler.ts
@@ -9,6 +9,7 @@
 import { add, NO_RESOURCES } from "../model/resources.js";
 import type { RecordWriter } from "../store/record-writer.js";
 import { anyMachine, FeasibleMachines } from "./feasible-machines.js";
+import { GangCapacity } from "./gang-capacity.js";
 import { GangScheduler } from "./gang-scheduling.js";
 import { GpuHeadroomGuard } from "./gpu-headroom-guard.js";
 import { findGuaranteedJobs } from "./guaranteed-quota.js";
@@ -56,6 +57,7 @@
   readonly #cluster: ClusterState;
   readonly #negativeFits: NegativeFitCache;
   readonly #reservations: Reservations;
+  readonly #gangCapacity: GangCapacity;
   readonly #placer: TaskPlacer;
   readonly #gangs: GangScheduler;
   readonly #tasks: TaskScheduler;
@@ -83,6 +85,7 @@
     this.turns = ctx.areRoundRobinTurnsEnabled ? new RoundRobinTurns() : null;
     this.#negativeFits = new NegativeFitCache(ctx);
     this.#reservations = new Reservations(ctx);
+    this.#gangCapacity = new GangCapacity(cluster);
     const gpuHeadroom = new GpuHeadroomGuard(ctx, cluster);
     this.feasibleMachines = new FeasibleMachines(ctx, cluster, gpuHeadroom);
     this.preemption = new Preemption(ctx, cluster, agents, this.feasibleMachines);
@@ -110,6 +113,7 @@
     // Capacity may have been freed, and machines added or removed, since the last call.
     this.#negativeFits.clear();
     this.feasibleMachines.beginRound(queue.map(({ job }) => job));
+    this.#gangCapacity.beginRound();
     for (let i = nextIndex; i < queue.length; i++) {
       if (i > nextIndex && budget.isSpent()) {
         this.#interrupted = { queue, nextIndex: i };
@@ -238,10 +242,12 @@
       this.preemption.preemptFor({ job, count, isWithinGuarantee, isSuitable: anyMachine, maxSaveS: null });
   }
 
-  /** Reserves a zone for a gang that is starving or whose deadline is at risk. */
+  /** Reserves a zone for a gang that is starving or whose deadline is at risk, if it could fit there at all. */
   #reserveZoneFor(job: Job): void {
     const starving = isStarving(this.#ctx, job);
     if (!starving && !isDeadlineAtRisk(this.#ctx, job)) return;
+    // Reserving machines in vain would keep all other jobs off them for as long as the gang waits.
+    if (!this.#gangCapacity.mayEverFit(job)) return;
     this.#reservations.reserveZone(job, starving, this.feasibleMachines.findFor(job));
   }
 }
--- a/test/reservations.test.ts
+++ b/test/reservations.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { isStarving } from "../src/core/scheduling/queue-order.js";
+import { AgentFleet } from "./support/agent-fleet.js";
 import { ControllerHarness, jobSpec, type TaskStatus } from "./support/controller-harness.js";
 import { IDLE_JOB } from "./support/objectives.js";
 import { executeCommands, liveTasks, sendHeartbeatsFor } from "./support/scripted-agents.js";
@@ -120,3 +121,33 @@
 
   assert.deepEqual([machinesRunning("j-1"), machinesRunning("j-2")], [0, 2]);
 });
+
+test("a gang that does not fit in the cluster any more keeps no other job off the machines", () => {
+  // Failure guarded against (left waiting): a gang that had lost a machine reserved each machine on which one of its tasks
+  // would fit, in every round, though all of them together could not hold it and the cloud had no other.
+  const harness = new ControllerHarness().becomeLeader();
+  const fleet = new AgentFleet(harness, { A: {}, B: {} }, () => null);
+  harness.submit(
+    jobSpec("j-gang", { shape: "gang", tasks: 2, need: { cpu: 3000, gpu: 0, ram: 1000 }, estimateS: 600 }),
+  );
+  assert.notEqual(
+    fleet.runUntil(() => fleet.machinesOf("j-gang").length === 2, 10_000),
+    null,
+  );
+  fleet.remove("B");
+  assert.notEqual(
+    fleet.runUntil(() => fleet.machinesOf("j-gang").length === 0, 60_000),
+    null,
+  );
+  harness.submit(jobSpec("j-small", { team: "blue" }));
+  const startedAfterMs = fleet.runUntil(() => fleet.machinesOf("j-small").length === 1, 90_000);
+  assert.ok(startedAfterMs !== null && startedAfterMs <= 5000, `j-small started after ${startedAfterMs} ms`);
+
+  harness.cancel("j-small");
+  fleet.add("C");
+  assert.notEqual(
+    fleet.runUntil(() => fleet.machinesOf("j-gang").length === 2, 30_000),
+    null,
+    "it fits again",
+  );
+});
--- a/test/support/agent-fleet.ts
+++ b/test/support/agent-fleet.ts
@@ -57,6 +57,12 @@
     this.#tasks.set(name, []);
   }
 
+  /** Removes a machine with its agent, as if the cloud had taken it. */
+  remove(name: string): void {
+    this.#machines.delete(name);
+    this.#tasks.delete(name);
+  }
+
   /** Replaces the fields in which the heartbeats of an agent differ from those of a small on-demand machine. */
   update(name: string, overrides: Partial<Heartbeat>): void {
     this.#machines.set(name, overrides);
@@ -101,8 +107,7 @@
 
   #terminate(name: string): void {
     this.terminated.push(name);
-    this.#machines.delete(name);
-    this.#tasks.delete(name);
+    this.remove(name);
   }
 
   #statuses(name: string): TaskStatus[] {
