A machine whose termination the cloud refuses is used again

What callers saw: while the cloud's interface was down, jobs waited beside sound idle machines that had been marked for termination before the jobs came.

Cause: the mark takes a machine out of scheduling and was never taken back. A refused request was repeated until the cloud carried it out, also when the reason, that nothing needs the machine, had long ceased to hold.

Evidence: the new test failed before (not started in 90 s).

Without a response the request may have been executed, so it is repeated as before; a machine listed as failed stays marked.

--- a/src/core/autoscaling/machine-terminator.ts
+++ b/src/core/autoscaling/machine-terminator.ts
@@ -6,8 +6,13 @@
 
 const MAX_MACHINES_PER_REQUEST = 100;
 const RETRY_DELAY_MS = 3000;
+/** The reason for terminating a machine that the cloud lists as failed. */
+export const FAILED_REASON = "failed";
 
-/** Terminates the machines marked for termination, with one request at a time; failed requests are retried. */
+/**
+ * Terminates the machines marked for termination, with one request at a time. A request without a response is retried, as
+ * it may have been executed; one that the cloud refuses leaves its machines in use, unless they are marked again.
+ */
 export class MachineTerminator {
   readonly #ctx: Context;
   readonly #cluster: ClusterState;
@@ -33,6 +38,7 @@
       for (const machine of due) {
         if (response.kind === "deleted") this.#onTerminated(machine);
         else machine.terminationRetryAt = this.#ctx.now + RETRY_DELAY_MS;
+        if (response.kind === "unavailable") unmark(machine);
       }
     });
   }
@@ -56,3 +62,10 @@
     this.#cluster.removeMachine(machine);
   }
 }
+
+/** Returns a machine whose termination was refused to its phase: jobs may need it while the cloud is unavailable. */
+function unmark(machine: Machine): void {
+  if (machine.terminationReason === FAILED_REASON) return;
+  machine.phase = machine.phaseBeforeTermination;
+  machine.terminationReason = null;
+}
--- a/test/provisioner.test.ts
+++ b/test/provisioner.test.ts
@@ -45,3 +45,32 @@
     ),
   );
 });
+
+test("a machine that was to be terminated is used again if the cloud refuses to terminate it", () => {
+  // Failure guarded against (left waiting): while the cloud's interface was down, idle machines stayed marked for
+  // termination, and jobs waited beside them.
+  const harness = new ControllerHarness().becomeLeader();
+  const defaultCloudRule = harness.cloudRule;
+  let refusals = 0;
+  harness.cloudRule = (call) => {
+    if (call.kind !== "delete" && call.kind !== "create") return defaultCloudRule(call);
+    if (call.kind === "delete") refusals++;
+    return { kind: "unavailable", reason: "status 503" };
+  };
+  const heartbeatsFor = (seconds: number, isReached: () => boolean) => {
+    for (let second = 0; second < seconds; second++) {
+      if (isReached()) return second;
+      harness.sendHeartbeat("A");
+      harness.advance(1000);
+    }
+    return null;
+  };
+  assert.notEqual(
+    heartbeatsFor(120, () => refusals > 1),
+    null,
+    "its termination is refused",
+  );
+  harness.submit(jobSpec("j-1"));
+  const startedAfterS = heartbeatsFor(90, () => harness.startCommands("j-1").length > 0);
+  assert.ok(startedAfterS !== null && startedAfterS <= 10, `started after ${startedAfterS} s`);
+});
