A cloud that takes no requests is not taken to be out of capacity

What callers saw: after an outage of the cloud's interface, jobs waited up to a minute more until machines were requested.

Cause: any answer but machines was evidence against the offer, a type in a zone, and doubled its backoff up to a minute. An outage or a refusal for rate explains it as well, for all offers at once, and ends without the offer's doing.

Fix: only "no capacity" and a partial fill back an offer off. While the cloud takes no request at all, a single one is sent every two seconds, whatever its offer, and the first that it takes opens all of them.

--- a/src/core/autoscaling/creation-requests.ts
+++ b/src/core/autoscaling/creation-requests.ts
@@ -10,6 +10,8 @@
 /** How many times a request is sent if it gets no response. */
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY_MS = 1000;
+/** While the cloud is unavailable, a single request, whatever its offer, is sent after each such time. */
+const UNAVAILABLE_RETRY_MS = 2000;
 
 /** A request to create machines that is awaiting a response. */
 export interface CreationRequest {
@@ -22,7 +24,7 @@
 
 /**
  * Sends requests to create machines, one at a time per offer. Retries a request under the same id if no response
- * arrives, and backs off from an offer after a request for it that was not fulfilled.
+ * arrives, and backs off from an offer for which the cloud has too little capacity.
  */
 export class CreationRequests {
   readonly #ctx: Context;
@@ -35,6 +37,8 @@
   /** Current backoffs, by offer. */
   readonly #backoffs = new Map<string, { readonly until: number; readonly waitMs: number }>();
   #requestCount = 0;
+  /** When the next request may be sent after one that the cloud could not take at all; null if it took the last one. */
+  #probeAt: number | null = null;
 
   constructor(ctx: Context, lease: LeaderLease, cluster: ClusterState) {
     this.#ctx = ctx;
@@ -47,15 +51,17 @@
     return this.#inFlight.values();
   }
 
-  /** True if the offer is in backoff, during which the caller must not request it. */
+  /** True if the offer is in backoff or the cloud is unavailable, during which the caller must not request it. */
   isBackedOff(offer: Offer): boolean {
+    if (this.#probeAt !== null && this.#probeAt > this.#ctx.now) return true;
     return (this.#backoffs.get(offerKeyOf(offer))?.until ?? 0) > this.#ctx.now;
   }
 
   /** Requests machines of an offer, unless a request for it is in flight. */
   create(offer: Offer, count: number): void {
     const key = offerKeyOf(offer);
-    if (this.#inFlight.has(key)) return;
+    const isProbe = this.#probeAt !== null;
+    if (this.#inFlight.has(key) || (isProbe && this.#inFlight.size > 0)) return;
     // The fencing token and a counter make the id unique: no leader ever uses it again.
     const requestId = `r-${this.#lease.firstFencingToken}-${++this.#requestCount}`;
     const request: CreationRequest = { offer, count, requestId, attemptsLeft: MAX_ATTEMPTS };
@@ -91,14 +97,17 @@
     }
     const key = offerKeyOf(offer);
     this.#inFlight.delete(key);
+    const isTaken = response.kind === "created" || response.kind === "noCapacity";
+    // A request that was not taken tells nothing about the offer.
+    this.#probeAt = isTaken ? null : this.#ctx.now + UNAVAILABLE_RETRY_MS;
     if (response.kind === "created") {
       this.#addMachines(request, response.machines);
       if (response.machines.length < request.count) this.#backOff(key);
       else this.#backoffs.delete(key);
       return;
     }
-    if (response.kind === "noCapacity")
-      this.#ctx.log("debug", "no capacity", { type: offer.type.name, zone: offer.zone, spot: offer.spot });
+    if (response.kind !== "noCapacity") return;
+    this.#ctx.log("debug", "no capacity", { type: offer.type.name, zone: offer.zone, spot: offer.spot });
     this.#backOff(key);
   }
 
--- a/test/provisioner.test.ts
+++ b/test/provisioner.test.ts
@@ -74,3 +74,30 @@
   const startedAfterS = heartbeatsFor(90, () => harness.startCommands("j-1").length > 0);
   assert.ok(startedAfterS !== null && startedAfterS <= 10, `started after ${startedAfterS} s`);
 });
+
+test("machines are requested within seconds after the cloud was unavailable", () => {
+  // Failure guarded against (left waiting): a cloud that answered no request was taken to be out of capacity, and each offer
+  // was backed off for up to a minute after it was back.
+  const harness = new ControllerHarness().becomeLeader();
+  const defaultCloudRule = harness.cloudRule;
+  const requestedAt: number[] = [];
+  harness.cloudRule = (call) => {
+    if (call.kind !== "create") return defaultCloudRule(call);
+    requestedAt.push(harness.now);
+    return { kind: "unavailable", reason: "status 503" };
+  };
+  harness.submit(jobSpec("j-1", { tasks: 8, zone: "a", types: ["small"] }));
+  harness.advance(70_000);
+  assert.ok(requestedAt.length <= 36, `${requestedAt.length} requests in 70 s`);
+
+  const createdAfterMs: number[] = [];
+  const backAt = harness.now;
+  harness.cloudRule = (call) => {
+    if (call.kind !== "create") return defaultCloudRule(call);
+    createdAfterMs.push(harness.now - backAt);
+    return { kind: "created", machines: ["H"] };
+  };
+  harness.advance(70_000);
+  const [firstMs = Number.POSITIVE_INFINITY] = createdAfterMs;
+  assert.ok(firstMs <= 5000, `requested after ${firstMs} ms`);
+});
