Only machines that nothing needs return to use when the cloud refuses their termination

What callers saw: nothing reported; a fault of this work, found by reading the change again. Machines lost one after the other were not terminated when the cloud took requests again, and were charged up to five minutes more.

Cause: every refusal, also one for rate, returned all machines marked for termination to those that are up. Lost machines were then silent together; half of a zone that is silent together counts as a partition, in which machines are kept.

Evidence: the new test failed before (none of three lost machines terminated).

Fix: only machines marked as idle or not needed return to use, as they are up and work. For lost, drained and faulty machines and those that never booted nothing has changed that would make them of use, so the mark stays.

--- a/src/core/autoscaling/machine-reaper.ts
+++ b/src/core/autoscaling/machine-reaper.ts
@@ -37,13 +37,9 @@
     this.#scheduler = scheduler;
   }
 
-  /**
-   * Marks a machine for termination, unless already marked. No more tasks are placed on it, unless the cloud refuses the
-   * termination.
-   */
+  /** Marks a machine for termination, unless already marked. No more tasks are placed on it. */
   markForTermination(machine: Machine, reason: string): void {
     if (machine.phase === "releasing") return;
-    machine.phaseBeforeTermination = machine.phase;
     machine.phase = "releasing";
     machine.terminationReason = reason;
     this.#ctx.log("debug", "machine marked for termination", { machine: machine.name, reason });
--- a/src/core/autoscaling/machine-terminator.ts
+++ b/src/core/autoscaling/machine-terminator.ts
@@ -3,15 +3,15 @@
 import type { ClusterState } from "../model/cluster-state.js";
 import type { Machine } from "../model/machine.js";
 import type { RecordWriter } from "../store/record-writer.js";
+import { SPARE_REASONS } from "./termination-rules.js";
 
 const MAX_MACHINES_PER_REQUEST = 100;
 const RETRY_DELAY_MS = 3000;
-/** The reason for terminating a machine that the cloud lists as failed. */
-export const FAILED_REASON = "failed";
 
 /**
  * Terminates the machines marked for termination, with one request at a time. A request without a response is retried, as
- * it may have been executed; one that the cloud refuses leaves its machines in use, unless they are marked again.
+ * it may have been executed. One that the cloud refuses returns machines that are only not needed to use; those that are
+ * lost or faulty stay marked.
  */
 export class MachineTerminator {
   readonly #ctx: Context;
@@ -38,7 +38,7 @@
       for (const machine of due) {
         if (response.kind === "deleted") this.#onTerminated(machine);
         else machine.terminationRetryAt = this.#ctx.now + RETRY_DELAY_MS;
-        if (response.kind === "unavailable") unmark(machine);
+        if (response.kind === "unavailable") returnToUse(machine);
       }
     });
   }
@@ -63,9 +63,9 @@
   }
 }
 
-/** Returns a machine whose termination was refused to its phase: jobs may need it while the cloud is unavailable. */
-function unmark(machine: Machine): void {
-  if (machine.terminationReason === FAILED_REASON) return;
-  machine.phase = machine.phaseBeforeTermination;
+/** Returns a sound machine whose termination was refused to use: jobs may need it while the cloud is unavailable. */
+function returnToUse(machine: Machine): void {
+  if (machine.terminationReason === null || !SPARE_REASONS.has(machine.terminationReason)) return;
+  machine.phase = "up";
   machine.terminationReason = null;
 }
--- a/src/core/autoscaling/provisioner.ts
+++ b/src/core/autoscaling/provisioner.ts
@@ -12,7 +12,7 @@
 import { CreationRequests } from "./creation-requests.js";
 import { GpuHeadroom } from "./gpu-headroom.js";
 import { MachineReaper } from "./machine-reaper.js";
-import { FAILED_REASON, MachineTerminator } from "./machine-terminator.js";
+import { MachineTerminator } from "./machine-terminator.js";
 import { type Offer, offerSuits } from "./offer.js";
 import { ScaleOutPlan } from "./scale-out-plan.js";
 
@@ -62,7 +62,7 @@
     this.#creationRequests = new CreationRequests(ctx, lease, cluster);
     this.#inventory = new CloudInventory(ctx, cluster, {
       onMachineTypes: (types) => dependencies.onMachineTypes(types),
-      onMachineFailed: (machine) => this.#reaper.markForTermination(machine, FAILED_REASON),
+      onMachineFailed: (machine) => this.#reaper.markForTermination(machine, "failed"),
     });
   }
 
--- a/src/core/autoscaling/termination-rules.ts
+++ b/src/core/autoscaling/termination-rules.ts
@@ -41,6 +41,8 @@
   { reason: "not needed", applies: isSurplus },
   { reason: "idle", applies: isIdleWithoutDemand },
 ];
+/** The reasons that say nothing against the machine: it is up and works, but nothing needs it. */
+export const SPARE_REASONS: ReadonlySet<string> = new Set(["not needed", "idle"]);
 
 /** Returns the reason to terminate a machine that is up; null if it is kept. */
 export function terminationReasonFor(machine: Machine, health: ClusterHealth): string | null {
--- a/src/core/model/machine.ts
+++ b/src/core/model/machine.ts
@@ -144,8 +144,6 @@
   terminationRetryAt = 0;
   /** Why no task could be placed here as of the last round, as logged; null if tasks could be placed. */
   loggedExclusion: string | null = null;
-  /** The phase that it returns to if the cloud refuses its termination. */
-  phaseBeforeTermination: "booting" | "up" = "booting";
   /** Why the machine is marked for termination. */
   terminationReason: string | null = null;
 
--- a/test/provisioner.test.ts
+++ b/test/provisioner.test.ts
@@ -75,6 +75,31 @@
   assert.ok(startedAfterS !== null && startedAfterS <= 10, `started after ${startedAfterS} s`);
 });
 
+test("machines that were lost one after the other are terminated as soon as the cloud takes requests again", () => {
+  // Failure guarded against (lost machines kept and charged): with each refusal all machines marked for termination returned
+  // to those that are up. Machines lost at different times were then silent together, half of their zone, which counts as
+  // a partition: nothing was terminated for five minutes.
+  const harness = new ControllerHarness().becomeLeader();
+  const defaultCloudRule = harness.cloudRule;
+  const terminated: string[] = [];
+  let isAvailable = false;
+  harness.cloudRule = (call) => {
+    if (call.kind !== "delete") return defaultCloudRule(call);
+    if (!isAvailable) return { kind: "unavailable", reason: "status 503" };
+    terminated.push(...call.machines);
+    return { kind: "deleted" };
+  };
+  const lostAtS: Record<string, number> = { D: 10, E: 22, F: 34 };
+  for (let second = 0; second < 75; second++) {
+    for (const name of ["A", "B", "C", "D", "E", "F"])
+      if (second < (lostAtS[name] ?? Number.POSITIVE_INFINITY))
+        harness.sendHeartbeat(name, [], { type: "gpu", spot: true });
+    isAvailable = second >= 60;
+    harness.advance(1000);
+  }
+  assert.deepEqual(terminated.sort(), ["D", "E", "F"]);
+});
+
 test("machines are requested within seconds after the cloud was unavailable", () => {
   // Failure guarded against (left waiting): a cloud that answered no request was taken to be out of capacity, and each offer
   // was backed off for up to a minute after it was back.
