A cloud that fails for one offer, or refuses for rate, is not taken to be unavailable

What callers saw: nothing reported; a fault of this work, found by reading the change again. If the cloud failed for one type in one zone only, or the rate was exceeded, requests for all other offers waited too, one at a time.

Cause: any answer but machines or "no capacity" was evidence that the cloud takes nothing, and the next request, alone until it was taken, could be for the same offer each time.

Evidence: the new test failed before (one request for the other zone in a minute; three at least are due).

Fix: 429, 5xx and other refusals are told apart. After 429 the offer pauses for a second, and nothing else changes. After a 5xx or no answer another offer is tried first; an offer that fails again while others were taken is backed off by itself. Any other refusal (4xx) backs off its offer.

--- a/src/core/autoscaling/creation-requests.ts
+++ b/src/core/autoscaling/creation-requests.ts
@@ -10,8 +10,14 @@
 /** How many times a request is sent if it gets no response. */
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY_MS = 1000;
-/** While the cloud is unavailable, a single request, whatever its offer, is sent after each such time. */
-const UNAVAILABLE_RETRY_MS = 2000;
+/** While the cloud is unavailable, a single request is sent after each such time. */
+const PROBE_INTERVAL_MS = 2000;
+/** After a failed probe other offers are tried first, as it may be the offer that fails. */
+const PROBED_OFFER_PAUSE_MS = 2 * PROBE_INTERVAL_MS;
+/** An offer that fails twice within this time, while requests for others are taken, is backed off. */
+const OFFER_FAILURE_WINDOW_MS = 60_000;
+/** Pause of an offer after a request that exceeded the cloud's request rate. */
+const THROTTLED_PAUSE_MS = 1000;
 
 /** A request to create machines that is awaiting a response. */
 export interface CreationRequest {
@@ -37,8 +43,12 @@
   /** Current backoffs, by offer. */
   readonly #backoffs = new Map<string, { readonly until: number; readonly waitMs: number }>();
   #requestCount = 0;
-  /** When the next request may be sent after one that the cloud could not take at all; null if it took the last one. */
+  /** When the next request may be sent while the cloud is unavailable; null while it is not known to be. */
   #probeAt: number | null = null;
+  /** When the cloud was last unavailable for a request, by offer. */
+  readonly #failedAt = new Map<string, number>();
+  /** When the cloud last took a request, whatever its offer. */
+  #takenAt = Number.NEGATIVE_INFINITY;
 
   constructor(ctx: Context, lease: LeaderLease, cluster: ClusterState) {
     this.#ctx = ctx;
@@ -97,18 +107,59 @@
     }
     const key = offerKeyOf(offer);
     this.#inFlight.delete(key);
-    const isTaken = response.kind === "created" || response.kind === "noCapacity";
-    // A request that was not taken tells nothing about the offer.
-    this.#probeAt = isTaken ? null : this.#ctx.now + UNAVAILABLE_RETRY_MS;
-    if (response.kind === "created") {
-      this.#addMachines(request, response.machines);
-      if (response.machines.length < request.count) this.#backOff(key);
-      else this.#backoffs.delete(key);
+    switch (response.kind) {
+      case "created":
+        this.#onTaken(key);
+        this.#addMachines(request, response.machines);
+        if (response.machines.length < request.count) this.#backOff(key);
+        else this.#backoffs.delete(key);
+        break;
+      case "noCapacity":
+        this.#onTaken(key);
+        this.#ctx.log("debug", "no capacity", { type: offer.type.name, zone: offer.zone, spot: offer.spot });
+        this.#backOff(key);
+        break;
+      case "throttled":
+        this.#pause(key, THROTTLED_PAUSE_MS);
+        break;
+      case "unavailable":
+      case "timeout":
+        this.#onUnavailable(key);
+        break;
+      case "rejected":
+      case "types":
+      case "deleted":
+      case "page":
+        this.#backOff(key);
+        break;
+      default:
+        response satisfies never;
+    }
+  }
+
+  #onTaken(key: string): void {
+    this.#probeAt = null;
+    this.#takenAt = this.#ctx.now;
+    this.#failedAt.delete(key);
+  }
+
+  /** Decides whether the cloud is unavailable for all offers, or only for one for which it fails repeatedly. */
+  #onUnavailable(key: string): void {
+    const { now } = this.#ctx;
+    const failedAt = this.#failedAt.get(key) ?? Number.NEGATIVE_INFINITY;
+    this.#failedAt.set(key, now);
+    if (now - failedAt < OFFER_FAILURE_WINDOW_MS && this.#takenAt >= failedAt) {
+      this.#backOff(key);
       return;
     }
-    if (response.kind !== "noCapacity") return;
-    this.#ctx.log("debug", "no capacity", { type: offer.type.name, zone: offer.zone, spot: offer.spot });
-    this.#backOff(key);
+    this.#probeAt = now + PROBE_INTERVAL_MS;
+    this.#pause(key, PROBED_OFFER_PAUSE_MS);
+  }
+
+  /** Pauses an offer without lengthening its next backoff. */
+  #pause(key: string, pauseMs: number): void {
+    const waitMs = this.#backoffs.get(key)?.waitMs ?? OFFER_BACKOFF_MS / 2;
+    this.#backoffs.set(key, { until: this.#ctx.now + pauseMs, waitMs });
   }
 
   #addMachines({ offer, count }: CreationRequest, names: readonly string[]): void {
--- a/src/core/autoscaling/machine-terminator.ts
+++ b/src/core/autoscaling/machine-terminator.ts
@@ -38,7 +38,7 @@
       for (const machine of due) {
         if (response.kind === "deleted") this.#onTerminated(machine);
         else machine.terminationRetryAt = this.#ctx.now + RETRY_DELAY_MS;
-        if (response.kind === "unavailable") returnToUse(machine);
+        if (response.kind === "unavailable" || response.kind === "throttled") returnToUse(machine);
       }
     });
   }
--- a/src/core/messages/cloud.ts
+++ b/src/core/messages/cloud.ts
@@ -35,5 +35,10 @@
   | { readonly kind: "noCapacity" }
   | { readonly kind: "deleted" }
   | { readonly kind: "page"; readonly machines: readonly CloudMachine[]; readonly more: boolean }
+  /** Refused for exceeding the request rate; not executed. */
+  | { readonly kind: "throttled" }
+  /** The cloud takes no requests; not executed. */
   | { readonly kind: "unavailable"; readonly reason: string }
+  /** This request is refused whenever it is sent. */
+  | { readonly kind: "rejected"; readonly reason: string }
   | { readonly kind: "timeout" };
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -72,7 +72,9 @@
 /** Decodes the cloud's response to a request. */
 export function decodeCloudResponse(request: CloudRequest, status: number, body: unknown): CloudResponse {
   if (status === 503 && request.kind === "create" && isOutOfCapacity(body)) return { kind: "noCapacity" };
-  if (status !== 200) return { kind: "unavailable", reason: `status ${status}` };
+  if (status === 429) return { kind: "throttled" };
+  if (status >= 500) return { kind: "unavailable", reason: `status ${status}` };
+  if (status !== 200) return { kind: "rejected", reason: `status ${status}` };
   switch (request.kind) {
     case "listTypes":
       return decodeTypes(body);
--- a/test/provisioner.test.ts
+++ b/test/provisioner.test.ts
@@ -126,3 +126,40 @@
   const [firstMs = Number.POSITIVE_INFINITY] = createdAfterMs;
   assert.ok(firstMs <= 5000, `requested after ${firstMs} ms`);
 });
+
+test("an offer for which the cloud always fails does not keep machines of other offers from being requested", () => {
+  // Failure guarded against (left waiting): while the cloud takes no requests, a single one tells when it does again. If that
+  // was always for the same offer, and the cloud failed for this one only, nothing else was requested any more.
+  const harness = new ControllerHarness().becomeLeader();
+  const defaultCloudRule = harness.cloudRule;
+  const requests: { readonly zone: string; readonly at: number }[] = [];
+  harness.cloudRule = (call) => {
+    if (call.kind !== "create") return defaultCloudRule(call);
+    requests.push({ zone: call.zone, at: harness.now });
+    return call.zone === "a" ? { kind: "unavailable", reason: "status 500" } : { kind: "noCapacity" };
+  };
+  harness.submit(jobSpec("j-a", { zone: "a", types: ["small"] }));
+  harness.submit(jobSpec("j-b", { zone: "b", types: ["small"] }));
+  harness.advance(60_000);
+  const inZone = (zone: string) => requests.filter((request) => request.zone === zone);
+  assert.ok((inZone("b")[0]?.at ?? Number.POSITIVE_INFINITY) <= 12_000, "requested at once for zone b");
+  assert.ok(inZone("b").length >= 3, `${inZone("b").length} requests for zone b in a minute`);
+  assert.ok(inZone("a").length <= 8, `${inZone("a").length} requests for zone a: it is backed off`);
+});
+
+test("an offer is requested again a second after a request that exceeded the cloud's rate", () => {
+  // Failure guarded against (left waiting): a refusal for rate was evidence against the offer, or the whole cloud.
+  const harness = new ControllerHarness().becomeLeader();
+  const defaultCloudRule = harness.cloudRule;
+  const requestedAt: number[] = [];
+  harness.cloudRule = (call) => {
+    if (call.kind !== "create") return defaultCloudRule(call);
+    requestedAt.push(harness.now);
+    return requestedAt.length <= 5 ? { kind: "throttled" } : { kind: "created", machines: ["H"] };
+  };
+  harness.submit(jobSpec("j-1", { zone: "a", types: ["small"] }));
+  harness.advance(12_000);
+  assert.equal(requestedAt.length, 6);
+  const [first = 0] = requestedAt;
+  assert.ok((requestedAt.at(-1) ?? 0) - first <= 10_000, `${requestedAt}`);
+});
